--- /dev/null
+++ b/cmd/fuchsiaspoke/main.go
@@ -0,0 +1,4 @@
+// Command fuchsiaspoke runs the serving layer and its tools.
+package main
+
+func main() {}
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,63 @@
+package fuchsiaspoke
+
+import "time"
+
+// Run says what is known about whether a call was carried out.
+type Run string
+
+// What can be known of a call.
+const (
+	NotRun     Run = "not_run"
+	Ran        Run = "ran"
+	RunUnknown Run = "unknown"
+)
+
+// Code is the stable name of a refusal's cause.
+type Code string
+
+// The codes of refusals.
+const (
+	CodeInvalidRequest      Code = "invalid_request"
+	CodeTooLarge            Code = "request_too_large"
+	CodeUnauthenticated     Code = "unauthenticated"
+	CodeKeyWithdrawn        Code = "key_withdrawn"
+	CodeForbidden           Code = "profile_not_allowed"
+	CodeNoProfile           Code = "profile_not_found"
+	CodeNoRoute             Code = "route_not_found"
+	CodeRateExceeded        Code = "rate_exceeded"
+	CodeOverloaded          Code = "overloaded"
+	CodeNoUpstream          Code = "no_upstream"
+	CodeLeaseLost           Code = "lease_lost"
+	CodeUpstreamFailed      Code = "upstream_failed"
+	CodeDeadline            Code = "deadline_exceeded"
+	CodeStarting            Code = "starting"
+	CodeDraining            Code = "draining"
+	CodeKeyNotIssued        Code = "idempotency_key_not_issued"
+	CodeKeyRequired         Code = "idempotency_key_required"
+	CodeKeyReused           Code = "idempotency_key_reused"
+	CodeOutcomeUnknown      Code = "outcome_unknown"
+	CodeAnswerMismatch      Code = "answer_mismatch"
+	CodeAdapterLoadFailed   Code = "adapter_load_failed"
+	CodeProfileVersionMoved Code = "profile_version_moved"
+)
+
+// Refusal is the typed cause of an answer that is not the upstream's own.
+type Refusal struct {
+	Code       Code          `cbor:"1,keyasint"`
+	Message    string        `cbor:"2,keyasint"`
+	Run        Run           `cbor:"3,keyasint"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	// Status is the HTTP status that the caller gets.
+	Status int `cbor:"5,keyasint"`
+}
+
+// Error returns the code and the message.
+func (r *Refusal) Error() string {
+	return string(r.Code) + ": " + r.Message
+}
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (r Refusal) WithRetryAfter(wait time.Duration) *Refusal {
+	r.RetryAfter = wait
+	return &r
+}
--- /dev/null
+++ b/vm.go
@@ -0,0 +1,13 @@
+package fuchsiaspoke
+
+// Zone is the name of an availability zone.
+type Zone string
+
+// VM is one entry VM as the platform lists it.
+type VM struct {
+	ID            string `json:"id" cbor:"1,keyasint"`
+	Zone          Zone   `json:"availability_zone" cbor:"2,keyasint"`
+	CallerAddress string `json:"caller_address" cbor:"3,keyasint"`
+	LinkAddress   string `json:"link_address" cbor:"4,keyasint"`
+	Leaving       bool   `json:"leaving,omitempty" cbor:"5,keyasint,omitempty"`
+}
