Join VMs by authenticated QUIC calls and heartbeats

Cause: nothing connected two processes. Ruled out: one connection a call, which costs a handshake each; net/rpc, which has no streams. Conclusion: duties can call each other by method name.

--- /dev/null
+++ b/link/dialer/dialer_test.go
@@ -0,0 +1,120 @@
+package dialer_test
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/acceptor"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/keyring"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+func start(t *testing.T, fleetKey, id string) (fuchsiaspoke.VM, context.CancelFunc) {
+	t.Helper()
+	ring, err := keyring.New(fleetKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := ring.TLS(id, "one")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &acceptor.Acceptor{TLS: config}
+	a.Handle("count", func(_ context.Context, _ string, request frame.Frame, send func(any) error) error {
+		var n int
+		if err := request.Decode(&n); err != nil {
+			return err
+		}
+		for i := range n {
+			if err := send(i); err != nil {
+				return err
+			}
+		}
+		return &fuchsiaspoke.Refusal{Code: fuchsiaspoke.CodeDraining, Run: fuchsiaspoke.NotRun}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- a.Serve(ctx, conn) }()
+	t.Cleanup(func() { cancel(); <-done; conn.Close() })
+	return fuchsiaspoke.VM{ID: id, LinkAddress: conn.LocalAddr().String()}, cancel
+}
+
+func newDialer(t *testing.T, fleetKey string) *dialer.Dialer {
+	t.Helper()
+	ring, err := keyring.New(fleetKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := ring.TLS("vm_caller", "one")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &dialer.Dialer{TLS: config}
+	t.Cleanup(d.Close)
+	return d
+}
+
+func TestCallStreamsAndRefuses(t *testing.T) {
+	key := strings.Repeat("ab", 32)
+	vm, _ := start(t, key, "vm_1")
+	d := newDialer(t, key)
+	sum := 0
+	err := d.Call(t.Context(), vm, "count", 5, func(body cbor.RawMessage) error {
+		var n int
+		err := cbor.Unmarshal(body, &n)
+		sum += n
+		return err
+	})
+	var refusal *fuchsiaspoke.Refusal
+	if !errors.As(err, &refusal) || refusal.Code != fuchsiaspoke.CodeDraining {
+		t.Fatalf("got %v, want the typed refusal", err)
+	}
+	if sum != 10 {
+		t.Fatalf("got sum %d, want 10", sum)
+	}
+}
+
+func TestPeerWithoutFleetKeyGetsNowhere(t *testing.T) {
+	vm, _ := start(t, strings.Repeat("ab", 32), "vm_1")
+	d := newDialer(t, strings.Repeat("cd", 32))
+	err := d.Call(t.Context(), vm, "count", 1, nil)
+	if !errors.Is(err, dialer.ErrNotSent) {
+		t.Fatalf("got %v, want ErrNotSent", err)
+	}
+}
+
+func TestAddressOfAnotherVMIsRefused(t *testing.T) {
+	key := strings.Repeat("ab", 32)
+	vm, _ := start(t, key, "vm_1")
+	vm.ID = "vm_2"
+	err := newDialer(t, key).Call(t.Context(), vm, "count", 1, nil)
+	if !errors.Is(err, dialer.ErrNotSent) {
+		t.Fatalf("got %v, want ErrNotSent", err)
+	}
+}
+
+func TestLostPeerEndsCall(t *testing.T) {
+	key := strings.Repeat("ab", 32)
+	vm, cancel := start(t, key, "vm_1")
+	d := newDialer(t, key)
+	_ = d.Call(t.Context(), vm, "count", 1, nil)
+	cancel()
+	began := time.Now()
+	if err := d.Call(t.Context(), vm, "count", 1, nil); err == nil {
+		t.Fatal("a call to a lost VM succeeded")
+	}
+	if waited := time.Since(began); waited > 5*time.Second {
+		t.Fatalf("the call ended after %v", waited)
+	}
+}
