--- a/generation.go
+++ b/generation.go
@@ -23,6 +23,8 @@
 	Patience time.Duration `cbor:"10,keyasint"`
 	// KeyHash names the key, so that a withdrawal reaches queued and running work; it is empty on open profiles.
 	KeyHash string `cbor:"11,keyasint,omitempty"`
+	// Grant is the token reservation, confirmed again right before sending.
+	Grant TokenGrant `cbor:"12,keyasint"`
 }
 
 // CostTokens is the bound on what the generation takes from its client account's rate.
@@ -42,6 +44,8 @@
 	// FinishReason is set on the last chunk alone.
 	FinishReason string  `cbor:"5,keyasint,omitempty"`
 	Adapter      Adapter `cbor:"6,keyasint"`
+	// PromptTokens is the engine's own count of the prompt; it may be zero until the last chunk.
+	PromptTokens int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // EngineReport is an engine's own account of its state, which may be late.
--- a/peer.go
+++ b/peer.go
@@ -15,11 +15,9 @@
 	Incarnation string `json:"incarnation" cbor:"2,keyasint"`
 	Draining    bool   `json:"draining" cbor:"3,keyasint,omitempty"`
 	Ready       bool   `json:"ready" cbor:"4,keyasint,omitempty"`
-	// Digest is the hash of the documents in force, by which a gap is noticed.
-	Digest uint64 `json:"digest" cbor:"5,keyasint"`
-	// Revision is the highest revision in force.
-	Revision int64 `json:"revision" cbor:"6,keyasint"`
+	// Digest sums up the documents in force, by which a gap is noticed.
+	Digest Digest `json:"digest" cbor:"5,keyasint"`
 	// Holds names the resources whose lease the VM holds.
-	Holds   []string      `json:"holds" cbor:"7,keyasint,omitempty"`
-	Engines []EngineState `json:"engines" cbor:"8,keyasint,omitempty"`
+	Holds   []string      `json:"holds" cbor:"6,keyasint,omitempty"`
+	Engines []EngineState `json:"engines" cbor:"7,keyasint,omitempty"`
 }
--- /dev/null
+++ b/upstream/balancer/balancer.go
@@ -0,0 +1,199 @@
+// Package balancer picks a replica of a plain service and sends calls to it within the client account's share.
+package balancer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/caller"
+	"github.com/pkg/errors"
+)
+
+const (
+	// tokenPatience is how long a call waits for its client account's tokens.
+	tokenPatience = 5 * time.Second
+	// maxAttempts bounds the tries of a call that may run more than once.
+	maxAttempts = 3
+	// comeBack is when a caller should try again after no replica took the call.
+	comeBack = 2 * time.Second
+	// updateTimeout bounds the report of what a call used.
+	updateTimeout = 2 * time.Second
+)
+
+type spender interface {
+	Reserve(ctx context.Context, ask fuchsiaspoke.TokenAsk) (fuchsiaspoke.TokenGrant, time.Duration, error)
+	Update(ctx context.Context, update fuchsiaspoke.TokenUpdate) error
+}
+
+// Balancer sends calls to the replicas of plain services.
+type Balancer struct {
+	// Services returns the services in force.
+	Services func() []fuchsiaspoke.Upstream
+	// Zone is this VM's availability zone, whose replicas are preferred.
+	Zone fuchsiaspoke.Zone
+	// Spender reserves tokens.
+	Spender spender
+	// Check is the last look at the key and the profile before sending.
+	Check func(keyHash, profile string) error
+	// Budget reports whether a further attempt may be made.
+	Budget func() bool
+	// Record puts an event on the time line.
+	Record func(fuchsiaspoke.Event)
+	// Clock returns the time since the process started; it goes on while the process is suspended.
+	Clock func() time.Duration
+
+	next    atomic.Uint64
+	mu      sync.Mutex
+	callers map[string]*caller.Caller
+}
+
+// Send reserves the call's tokens, sends it to one replica and returns the whole answer.
+//
+// A call with an idempotency key is sent once; begun is called right before the first byte may leave.
+func (b *Balancer) Send(ctx context.Context, call fuchsiaspoke.Call, begun func() error) (fuchsiaspoke.Reply, error) {
+	grant, until, err := b.Spender.Reserve(ctx, fuchsiaspoke.TokenAsk{
+		Account: call.Account, ID: call.RequestID, Tokens: call.CostTokens, Patience: tokenPatience,
+	})
+	if err != nil {
+		return fuchsiaspoke.Reply{}, err
+	}
+	last := func() error {
+		if err := b.lastCheck(call, until); err != nil {
+			return err
+		}
+		if begun != nil {
+			return begun()
+		}
+		return nil
+	}
+	reply, err := b.attempt(ctx, call, last)
+	consumed := grant.Tokens
+	if notRun(err) {
+		consumed = 0
+	}
+	go b.report(context.WithoutCancel(ctx), fuchsiaspoke.TokenUpdate{
+		Account: grant.Account, ID: grant.ID, Fence: grant.Fence, Consumed: consumed, Finished: true,
+	})
+	return reply, err
+}
+
+func (b *Balancer) attempt(ctx context.Context, call fuchsiaspoke.Call, last func() error) (fuchsiaspoke.Reply, error) {
+	replicas := b.replicas(call.Service)
+	if len(replicas) == 0 {
+		return fuchsiaspoke.Reply{}, noReplica(call.Service)
+	}
+	attempts := 1
+	if call.IdempotencyKey == "" {
+		attempts = maxAttempts
+	}
+	var reply fuchsiaspoke.Reply
+	var err error
+	for n := range attempts {
+		upstream := replicas[n%len(replicas)]
+		reply, err = b.send(ctx, call, upstream, last)
+		if err == nil || ctx.Err() != nil || final(err) || n+1 < attempts && !b.Budget() {
+			return reply, err
+		}
+	}
+	return reply, err
+}
+
+func (b *Balancer) send(ctx context.Context, call fuchsiaspoke.Call, upstream fuchsiaspoke.Upstream, last func() error) (fuchsiaspoke.Reply, error) {
+	return b.caller(upstream).Send(ctx, call, func() error {
+		if err := last(); err != nil {
+			return err
+		}
+		b.Record(fuchsiaspoke.Event{
+			Kind: fuchsiaspoke.EventSent, RequestID: call.RequestID, Account: call.Account, Upstream: upstream.ID, Tokens: call.CostTokens,
+		})
+		return nil
+	})
+}
+
+// lastCheck runs right before the first byte may leave.
+func (b *Balancer) lastCheck(call fuchsiaspoke.Call, until time.Duration) error {
+	if err := b.Check(call.KeyHash, call.Profile); err != nil {
+		return err
+	}
+	if b.Clock() >= until {
+		return &fuchsiaspoke.Refusal{
+			Code: fuchsiaspoke.CodeLeaseLost, Message: "the token reservation ran out before the call was sent",
+			Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable, RetryAfter: comeBack,
+		}
+	}
+	return nil
+}
+
+// replicas are the service's replicas that take new work, the ones in this availability zone first, in turn.
+func (b *Balancer) replicas(service string) []fuchsiaspoke.Upstream {
+	var near, far []fuchsiaspoke.Upstream
+	for _, u := range b.Services() {
+		if u.Leaving || u.Service != service {
+			continue
+		}
+		if u.Zone == b.Zone {
+			near = append(near, u)
+		} else {
+			far = append(far, u)
+		}
+	}
+	turn := b.next.Add(1)
+	return append(rotate(near, turn), rotate(far, turn)...)
+}
+
+func (b *Balancer) caller(upstream fuchsiaspoke.Upstream) *caller.Caller {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.callers == nil {
+		b.callers = make(map[string]*caller.Caller)
+	}
+	c := b.callers[upstream.Address]
+	if c == nil {
+		c = &caller.Caller{Address: upstream.Address}
+		b.callers[upstream.Address] = c
+	}
+	return c
+}
+
+func (b *Balancer) report(ctx context.Context, update fuchsiaspoke.TokenUpdate) {
+	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
+	defer cancel()
+	_ = b.Spender.Update(ctx, update)
+}
+
+func rotate(replicas []fuchsiaspoke.Upstream, turn uint64) []fuchsiaspoke.Upstream {
+	if len(replicas) == 0 {
+		return nil
+	}
+	at := int(turn % uint64(len(replicas)))
+	return append(replicas[at:len(replicas):len(replicas)], replicas[:at]...)
+}
+
+// final reports whether no other replica would answer differently.
+func final(err error) bool {
+	var refusal *fuchsiaspoke.Refusal
+	if !errors.As(err, &refusal) {
+		return false
+	}
+	switch refusal.Code {
+	case fuchsiaspoke.CodeUpstreamFailed, fuchsiaspoke.CodeOutcomeUnknown, fuchsiaspoke.CodeNoUpstream:
+		return false
+	}
+	return true
+}
+
+func notRun(err error) bool {
+	var refusal *fuchsiaspoke.Refusal
+	return errors.As(err, &refusal) && refusal.Run == fuchsiaspoke.NotRun
+}
+
+func noReplica(service string) error {
+	return &fuchsiaspoke.Refusal{
+		Code: fuchsiaspoke.CodeNoUpstream, Message: "service " + service + " has no replica that takes work",
+		Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable, RetryAfter: comeBack,
+	}
+}
--- /dev/null
+++ b/vm/admitter/admitter.go
@@ -0,0 +1,247 @@
+// Package admitter authenticates callers, holds client accounts to their share, and passes the work on.
+package admitter
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/authenticator"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/catalog"
+	"github.com/pkg/errors"
+)
+
+const (
+	// patience is how long a request may wait for tokens and for its turn.
+	patience = 10 * time.Second
+	// settleTokens is the use of a reservation after which it is reported.
+	settleTokens = 64
+	// settleTimeout bounds the report at the end of a request.
+	settleTimeout = 2 * time.Second
+)
+
+type spender interface {
+	Reserve(ctx context.Context, ask fuchsiaspoke.TokenAsk) (fuchsiaspoke.TokenGrant, time.Duration, error)
+	Update(ctx context.Context, update fuchsiaspoke.TokenUpdate) error
+}
+
+type router interface {
+	Deliver(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error
+}
+
+type executor interface {
+	Execute(ctx context.Context, call fuchsiaspoke.Call) (fuchsiaspoke.Reply, error)
+}
+
+// Admitter is the first step of every request.
+type Admitter struct {
+	// Catalog returns the documents in force.
+	Catalog func() catalog.Catalog
+	// Spender reserves tokens.
+	Spender spender
+	// Router passes generations on.
+	Router router
+	// Executor runs calls to plain services.
+	Executor executor
+	// Record puts an event on the time line.
+	Record func(fuchsiaspoke.Event)
+
+	mu     sync.Mutex
+	active map[string]active
+}
+
+type active struct {
+	keyHash string
+	profile string
+	cancel  context.CancelCauseFunc
+}
+
+// Generate authorizes the generation by its key hash, fills in what the profile fixes, and hands each part of the answer to sink.
+func (a *Admitter) Generate(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
+	err := a.generate(ctx, &g, sink)
+	a.recordEnd(g.RequestID, g.Account, err)
+	return err
+}
+
+// Call authorizes the call by its key hash, fills in what the profile fixes, and returns the service's answer.
+func (a *Admitter) Call(ctx context.Context, call fuchsiaspoke.Call) (fuchsiaspoke.Reply, error) {
+	reply, err := a.call(ctx, &call)
+	a.recordEnd(call.RequestID, call.Account, err)
+	return reply, err
+}
+
+// Recheck ends the running requests whose key was withdrawn or whose profile no longer admits them.
+func (a *Admitter) Recheck(c catalog.Catalog) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, request := range a.active {
+		if _, _, err := (authenticator.Authenticator{}).Authorize(c, request.keyHash, request.profile); err != nil {
+			request.cancel(err)
+		}
+	}
+}
+
+// Running returns the number of requests that have not ended.
+func (a *Admitter) Running() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.active)
+}
+
+func (a *Admitter) generate(ctx context.Context, g *fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
+	profile, account, err := (authenticator.Authenticator{}).Authorize(a.Catalog(), g.KeyHash, g.Profile)
+	if err != nil {
+		return err
+	}
+	if profile.Service != "" {
+		return invalid("profile " + profile.Name + " names a plain service, not a model")
+	}
+	g.Account = account
+	g.BaseModel = profile.BaseModel
+	g.Adapter = profile.Adapter
+	g.MaxOutputTokens = boundOutput(g.MaxOutputTokens, profile.MaxOutputTokens)
+	g.Patience = patience
+	ctx, end := a.begin(ctx, g.RequestID, g.KeyHash, g.Profile)
+	defer end()
+	a.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventAdmitted, RequestID: g.RequestID, Account: account, Tokens: g.CostTokens()})
+	began := time.Now()
+	grant, _, err := a.Spender.Reserve(ctx, fuchsiaspoke.TokenAsk{
+		Account: account, ID: g.RequestID, Tokens: g.CostTokens(), Patience: g.Patience,
+	})
+	if err != nil {
+		return cause(ctx, err)
+	}
+	g.Grant = grant
+	g.Patience -= time.Since(began)
+	return cause(ctx, a.deliver(ctx, *g, sink))
+}
+
+func (a *Admitter) deliver(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
+	use := fuchsiaspoke.TokenUpdate{Account: g.Account, ID: g.RequestID, Fence: g.Grant.Fence}
+	prompt, output, reported := g.PromptTokens, int64(0), int64(0)
+	err := a.Router.Deliver(ctx, g, func(chunk fuchsiaspoke.Chunk) error {
+		if chunk.PromptTokens > 0 {
+			prompt = chunk.PromptTokens
+		}
+		output += chunk.Tokens
+		use.Consumed = prompt + output
+		if use.Consumed-reported >= settleTokens {
+			reported = use.Consumed
+			go a.report(context.WithoutCancel(ctx), use)
+		}
+		return sink(chunk)
+	})
+	if err != nil && !notRun(err) {
+		use.Consumed = g.Grant.Tokens
+	}
+	use.Finished = true
+	go a.report(context.WithoutCancel(ctx), use)
+	return err
+}
+
+func (a *Admitter) call(ctx context.Context, call *fuchsiaspoke.Call) (fuchsiaspoke.Reply, error) {
+	profile, account, err := (authenticator.Authenticator{}).Authorize(a.Catalog(), call.KeyHash, call.Profile)
+	if err != nil {
+		return fuchsiaspoke.Reply{}, err
+	}
+	route, err := findRoute(profile, call.Method, call.Path)
+	if err != nil {
+		return fuchsiaspoke.Reply{}, err
+	}
+	call.Account = account
+	call.Service = profile.Service
+	call.CostTokens = route.CostTokens
+	if !route.Idempotent && call.IdempotencyKey == "" {
+		return fuchsiaspoke.Reply{}, keyRequired()
+	}
+	if route.Idempotent {
+		call.IdempotencyKey = ""
+	}
+	ctx, end := a.begin(ctx, call.RequestID, call.KeyHash, call.Profile)
+	defer end()
+	a.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventAdmitted, RequestID: call.RequestID, Account: account, Tokens: call.CostTokens})
+	reply, err := a.Executor.Execute(ctx, *call)
+	return reply, err
+}
+
+func (a *Admitter) begin(ctx context.Context, id, keyHash, profile string) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	a.mu.Lock()
+	if a.active == nil {
+		a.active = make(map[string]active)
+	}
+	a.active[id] = active{keyHash: keyHash, profile: profile, cancel: cancel}
+	a.mu.Unlock()
+	return ctx, func() {
+		a.mu.Lock()
+		delete(a.active, id)
+		a.mu.Unlock()
+		cancel(nil)
+	}
+}
+
+func (a *Admitter) report(ctx context.Context, use fuchsiaspoke.TokenUpdate) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	_ = a.Spender.Update(ctx, use)
+}
+
+func (a *Admitter) recordEnd(id, account string, err error) {
+	if err == nil {
+		a.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventAnswered, RequestID: id, Account: account})
+		return
+	}
+	detail := err.Error()
+	var refusal *fuchsiaspoke.Refusal
+	if errors.As(err, &refusal) {
+		detail = string(refusal.Code) + " " + string(refusal.Run)
+	}
+	a.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventRefused, RequestID: id, Account: account, Detail: detail})
+}
+
+// cause prefers the reason for which the request was ended from within.
+func cause(ctx context.Context, err error) error {
+	var withdrawn *fuchsiaspoke.Refusal
+	if err == nil || !errors.As(context.Cause(ctx), &withdrawn) {
+		return err
+	}
+	if notRun(err) {
+		return withdrawn
+	}
+	ended := *withdrawn
+	ended.Run = fuchsiaspoke.RunUnknown
+	return &ended
+}
+
+func boundOutput(asked, allowed int64) int64 {
+	const defaultOutputTokens = 256
+	if allowed <= 0 {
+		allowed = defaultOutputTokens
+	}
+	if asked <= 0 || asked > allowed {
+		return allowed
+	}
+	return asked
+}
+
+func notRun(err error) bool {
+	var refusal *fuchsiaspoke.Refusal
+	return errors.As(err, &refusal) && refusal.Run == fuchsiaspoke.NotRun
+}
+
+func invalid(message string) error {
+	return &fuchsiaspoke.Refusal{
+		Code: fuchsiaspoke.CodeInvalidRequest, Message: message, Run: fuchsiaspoke.NotRun, Status: http.StatusBadRequest,
+	}
+}
+
+func keyRequired() error {
+	return &fuchsiaspoke.Refusal{
+		Code:    fuchsiaspoke.CodeKeyRequired,
+		Message: "this route runs at most once: ask POST /v1/idempotency_keys for a key and send it as Idempotency-Key",
+		Run:     fuchsiaspoke.NotRun,
+		Status:  http.StatusBadRequest,
+	}
+}
--- /dev/null
+++ b/vm/runner/node.go
@@ -0,0 +1,335 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/authenticator"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/catalog"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/granter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/spender"
+	"github.com/fuchsiaspoke/fuchsiaspoke/idempotency/executor"
+	"github.com/fuchsiaspoke/fuchsiaspoke/idempotency/issuer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/invariant/asserter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/acceptor"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/keyring"
+	"github.com/fuchsiaspoke/fuchsiaspoke/metrics/meter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/platforms/poller"
+	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/recorder"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/balancer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/manager"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/admitter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/forwarder"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/listener"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/reporter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/router"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/timer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/assigner"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/gossiper"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/holder"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/leaser"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/relayer"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+)
+
+const (
+	// fleetKeyBytes is the size of the fleet key.
+	fleetKeyBytes = 32
+	// leaseLength is how long a lease lasts without renewal.
+	leaseLength = 3 * time.Second
+	// councilSize bounds the VMs whose promises make a lease.
+	councilSize = 7
+	// abandonAfter is how long a VM that the platform no longer lists must be silent before its promises count as gone.
+	abandonAfter = 30 * time.Second
+	// leaseGroup names the one group of resources that today's fleets need.
+	leaseGroup = "group_0"
+	// watchersPerZone is the number of VMs of an availability zone that watch the platform.
+	watchersPerZone = 2
+)
+
+// node holds the duties of one VM and what joins them.
+type node struct {
+	settings    *Runner
+	incarnation string
+	timer       timer.Timer
+	draining    atomic.Bool
+
+	dialer   *dialer.Dialer
+	acceptor *acceptor.Acceptor
+	recorder *recorder.Recorder
+	asserter *asserter.Asserter
+	meter    *meter.Meter
+
+	relayer  *relayer.Relayer
+	gossiper *gossiper.Gossiper
+	holder   *holder.Holder
+	granter  *granter.Granter
+	spender  *spender.Spender
+	manager  *manager.Manager
+
+	admitter  *admitter.Admitter
+	router    *router.Router
+	balancer  *balancer.Balancer
+	executor  *executor.Executor
+	forwarder *forwarder.Forwarder
+	listener  *listener.Listener
+	reporter  *reporter.Reporter
+
+	turn       atomic.Uint64
+	callers    net.Listener
+	admin      net.Listener
+	links      net.PacketConn
+	endCallers context.CancelFunc
+	callersEnd chan error
+}
+
+func (r *Runner) build() (*node, error) {
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, err
+	}
+	n := &node{settings: r, incarnation: incarnation, callersEnd: make(chan error, 1)}
+	n.recorder = &recorder.Recorder{VM: r.VM.ID}
+	n.meter = &meter.Meter{}
+	n.asserter = &asserter.Asserter{Stop: r.Stop, Record: n.record}
+	if err := n.listen(); err != nil {
+		n.close()
+		return nil, err
+	}
+	ring, err := keyring.New(r.FleetKey)
+	if err != nil {
+		n.close()
+		return nil, err
+	}
+	if err := n.join(ring); err != nil {
+		n.close()
+		return nil, err
+	}
+	n.buildZone()
+	n.buildUpstream()
+	return n, n.buildCallers(ring)
+}
+
+func (n *node) listen() error {
+	var err error
+	if n.links, err = net.ListenPacket("udp", n.settings.VM.LinkAddress); err != nil {
+		return errors.Wrapf(err, "listen for VMs on %s", n.settings.VM.LinkAddress)
+	}
+	if n.callers, err = listenTCP(n.settings.VM.CallerAddress); err != nil {
+		return errors.Wrap(err, "callers")
+	}
+	n.admin, err = listenTCP(n.settings.AdminAddress)
+	return errors.Wrap(err, "administration")
+}
+
+func (n *node) close() {
+	if n.links != nil {
+		n.links.Close()
+	}
+	if n.callers != nil {
+		n.callers.Close()
+	}
+	if n.admin != nil {
+		n.admin.Close()
+	}
+}
+
+func (n *node) join(ring keyring.Keyring) error {
+	config, err := ring.TLS(n.settings.VM.ID, n.incarnation)
+	if err != nil {
+		return err
+	}
+	n.dialer = &dialer.Dialer{TLS: config}
+	n.acceptor = &acceptor.Acceptor{TLS: config}
+	return nil
+}
+
+func (n *node) buildZone() {
+	n.relayer = &relayer.Relayer{
+		Platform: &poller.Poller{URL: n.settings.PlatformURL},
+		Caller:   n.dialer,
+		Watches:  n.watches,
+		Changed:  n.changed,
+		Refused:  n.refused,
+		Fault:    n.fault,
+	}
+	n.gossiper = &gossiper.Gossiper{
+		Self:   n.settings.VM,
+		Caller: n.dialer,
+		State:  n.state,
+		Listed: func() []fuchsiaspoke.VM { return n.relayer.Catalog().VMList().VMs },
+		Heard:  n.relayer.Notice,
+		Clock:  n.timer.Now,
+		Fault:  n.fault,
+	}
+	n.holder = &holder.Holder{
+		Leaser: &leaser.Leaser{
+			Self:        n.settings.VM.ID,
+			Incarnation: n.incarnation,
+			Length:      leaseLength,
+			CouncilSize: councilSize,
+			Group:       leaseGroup,
+			Abandon:     abandonAfter,
+		},
+		Caller:  n.dialer,
+		Find:    n.gossiper.Find,
+		Wanted:  n.wanted,
+		Changed: n.leaseChanged,
+		Paused:  n.paused,
+		Clock:   n.timer.Now,
+		Fault:   n.fault,
+	}
+	n.acceptor.Handle(gossiper.Method, n.gossiper.Answer)
+	n.acceptor.Handle(relayer.Method, n.relayer.Answer)
+	n.acceptor.Handle(holder.Method, n.holder.Answer)
+}
+
+// assigner decides by what the VM knows now.
+func (n *node) assigner() assigner.Assigner {
+	return assigner.Assigner{Self: n.settings.VM.ID, Draining: n.draining.Load()}
+}
+
+func (n *node) wanted(held func(string) bool) []string {
+	if !n.relayer.Ready() {
+		return nil
+	}
+	return n.assigner().Wanted(n.resources(), n.gossiper.Live(), held)
+}
+
+// resources names everything that has a lease: the engines, the client accounts, and the budget of the weight store.
+func (n *node) resources() []string {
+	c := n.relayer.Catalog()
+	names := []string{manager.StoreResource}
+	for _, u := range c.Upstreams() {
+		if u.Kind == fuchsiaspoke.EngineUpstream && !u.Leaving {
+			names = append(names, manager.Resource(u.ID))
+		}
+	}
+	for account := range c.Accounts() {
+		names = append(names, spender.Resource(account.Name))
+	}
+	return names
+}
+
+func (n *node) holderOf(resource string) (fuchsiaspoke.VM, bool) {
+	if _, ok := n.holder.Held(resource); ok {
+		return n.settings.VM, true
+	}
+	return n.assigner().HolderOf(resource, n.gossiper.Live())
+}
+
+func (n *node) leaseChanged(lease fuchsiaspoke.Lease, held bool) {
+	kind := fuchsiaspoke.EventLeaseLost
+	if held {
+		kind = fuchsiaspoke.EventLeaseTaken
+	}
+	n.record(fuchsiaspoke.Event{Kind: kind, Detail: lease.Resource, Tokens: lease.Fence})
+	n.granter.LeaseChanged(lease, held)
+	n.manager.LeaseChanged(lease, held)
+	n.gossiper.Wake()
+}
+
+// watches reports whether this VM is among the few of its availability zone that watch the platform.
+func (n *node) watches() bool {
+	var near []fuchsiaspoke.VM
+	for _, peer := range n.gossiper.Live() {
+		if peer.VM.Zone == n.settings.VM.Zone && !peer.Draining {
+			near = append(near, peer.VM)
+		}
+	}
+	if len(near) <= watchersPerZone {
+		return true
+	}
+	first := ranker.Ranker{}.Council("watch", near, watchersPerZone)
+	return slices.Contains(first, n.settings.VM.ID)
+}
+
+func (n *node) state() fuchsiaspoke.PeerState {
+	state := fuchsiaspoke.PeerState{
+		VM:          n.settings.VM,
+		Incarnation: n.incarnation,
+		Draining:    n.draining.Load(),
+		Ready:       n.ready(),
+		Digest:      n.relayer.Catalog().Digest(),
+		Holds:       n.holder.Holds(),
+		Engines:     n.manager.States(),
+	}
+	return state
+}
+
+func (n *node) ready() bool {
+	return n.relayer.Ready() && n.holder.Ready()
+}
+
+func (n *node) changed(c catalog.Catalog, doc fuchsiaspoke.Document) {
+	n.record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventRevision, Detail: doc.Name, Tokens: doc.Revision})
+	if list := c.VMList(); list.Revision == doc.Revision {
+		n.holder.Adopt(list)
+	}
+	n.admitter.Recheck(c)
+	n.manager.Recheck(c)
+	n.granter.Change(c)
+	n.gossiper.Wake()
+}
+
+func (n *node) refused(doc fuchsiaspoke.Document, err error) {
+	klog.ErrorS(err, "Refused document", "document", doc.Name, "revision", doc.Revision)
+	n.record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventDocRefused, Detail: doc.Name, Tokens: doc.Revision})
+}
+
+func (n *node) paused(gap time.Duration) {
+	klog.InfoS("The process was suspended; all leases are dropped", "gap", gap)
+	n.record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventPaused, Detail: gap.String()})
+}
+
+func (n *node) fault(err error) {
+	klog.V(1).InfoS("Call failed", "err", err)
+}
+
+func (n *node) record(e fuchsiaspoke.Event) { n.recorder.Record(e) }
+
+// check is the last look at the key and the profile before anything is sent.
+func (n *node) check(keyHash, profile string) error {
+	_, _, err := authenticator.Authenticator{}.Authorize(n.relayer.Catalog(), keyHash, profile)
+	return err
+}
+
+func (n *node) buildCallers(ring keyring.Keyring) error {
+	secret, err := ring.Secret("idempotency keys")
+	if err != nil {
+		return err
+	}
+	keys := &issuer.Issuer{VM: n.settings.VM.ID, Incarnation: n.incarnation, Secret: secret, Clock: n.timer.Now}
+	n.executor = &executor.Executor{Keys: keys, Sender: n.balancer, Clock: n.timer.Now}
+	n.forwarder = &forwarder.Forwarder{
+		Self: n.settings.VM.ID, Incarnation: n.incarnation, Keys: keys, Executor: n.executor,
+		Sender: n.balancer, Caller: n.dialer, Find: n.gossiper.Find,
+	}
+	n.admitter = &admitter.Admitter{
+		Catalog: n.relayer.Catalog, Spender: n.spender, Router: n.router, Executor: n.forwarder, Record: n.record,
+	}
+	n.listener = &listener.Listener{
+		Admitter: n.admitter,
+		Issuer:   keys,
+		Account: func(keyHash string) (string, error) {
+			return authenticator.Authenticator{}.Account(n.relayer.Catalog(), keyHash)
+		},
+		Models:   n.models,
+		Entries:  n.entries,
+		Ready:    n.ready,
+		Draining: n.draining.Load,
+		Observe:  n.observe,
+	}
+	n.reporter = &reporter.Reporter{
+		Status: n.status, Events: n.recorder.Events, Metrics: n.meter.Handler(), Ready: n.ready,
+	}
+	n.acceptor.Handle(forwarder.Method, n.forwarder.Serve)
+	return nil
+}
--- /dev/null
+++ b/vm/timer/timer.go
@@ -0,0 +1,30 @@
+// Package timer reads a clock that goes on while the process or the VM is suspended.
+package timer
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Timer measures the time since its first use; the zero value is ready.
+type Timer struct {
+	once  sync.Once
+	start time.Duration
+}
+
+// Now returns the time since the first call, by CLOCK_BOOTTIME.
+func (t *Timer) Now() time.Duration {
+	now := boottime()
+	t.once.Do(func() { t.start = now })
+	return now - t.start
+}
+
+func boottime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("CLOCK_BOOTTIME cannot be read: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
