--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -11,6 +11,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/authenticator"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/catalog"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/granter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/permitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/spender"
 	"github.com/fuchsiaspoke/fuchsiaspoke/idempotency/executor"
 	"github.com/fuchsiaspoke/fuchsiaspoke/idempotency/issuer"
@@ -24,6 +25,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/balancer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/manager"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/admitter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/budgeter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/forwarder"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/listener"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/reporter"
@@ -82,6 +84,7 @@
 	listener  *listener.Listener
 	reporter  *reporter.Reporter
 
+	budget     budgeter.Budgeter
 	turn       atomic.Uint64
 	callers    net.Listener
 	admin      net.Listener
@@ -206,7 +209,7 @@
 // resources names everything that has a lease: the engines, the client accounts, and the budget of the weight store.
 func (n *node) resources() []string {
 	c := n.relayer.Catalog()
-	names := []string{manager.StoreResource}
+	names := []string{spender.Resource(permitter.Account)}
 	for _, u := range c.Upstreams() {
 		if u.Kind == fuchsiaspoke.EngineUpstream && !u.Leaving {
 			names = append(names, manager.Resource(u.ID))
@@ -274,7 +277,7 @@
 		n.holder.Adopt(list)
 	}
 	n.admitter.Recheck(c)
-	n.manager.Recheck(c)
+	n.manager.Withdraw(c)
 	n.granter.Change(c)
 	n.gossiper.Wake()
 }
@@ -333,3 +336,58 @@
 	n.acceptor.Handle(forwarder.Method, n.forwarder.Serve)
 	return nil
 }
+
+func (n *node) buildUpstream() {
+	n.granter = &granter.Granter{Clock: n.timer.Now, Record: n.record, Account: n.account}
+	n.spender = &spender.Spender{
+		Self: n.settings.VM.ID, Local: n.granter, Caller: n.dialer, HolderOf: n.holderOf, Clock: n.timer.Now,
+	}
+	n.manager = &manager.Manager{
+		Upstreams: func() []fuchsiaspoke.Upstream { return n.relayer.Catalog().Upstreams() },
+		Held:      n.holder.Held,
+		Authorize: n.check,
+		Confirmer: n.spender,
+		Permits:   &permitter.Permitter{Spender: n.spender},
+		Recorder:  n.recorder,
+		Violated:  func(detail string) { n.asserter.Assert(false, "dispatcher", detail) },
+		Clock:     n.timer.Now,
+	}
+	n.router = &router.Router{
+		Self: n.settings.VM.ID, Local: n.manager, Caller: n.dialer, Engines: n.engines,
+		Live: n.gossiper.Live, Clock: n.timer.Now, Budget: n.budget.Take,
+	}
+	n.balancer = &balancer.Balancer{
+		Services: n.services, Zone: n.settings.VM.Zone, Spender: n.spender, Check: n.check,
+		Budget: n.budget.Take, Record: n.record, Clock: n.timer.Now,
+	}
+	n.acceptor.Handle(router.Method, n.manager.Serve)
+	n.acceptor.Handle(spender.ReserveMethod, n.granter.ServeReserve)
+	n.acceptor.Handle(spender.ConfirmMethod, n.granter.ServeConfirm)
+	n.acceptor.Handle(spender.UpdateMethod, n.granter.ServeUpdate)
+}
+
+// account returns a client account in force, or the budget of the weight store.
+func (n *node) account(name string) (fuchsiaspoke.ClientAccount, bool) {
+	if name == permitter.Account {
+		return permitter.Budget(), true
+	}
+	return n.relayer.Catalog().Account(name)
+}
+
+func (n *node) engines() []fuchsiaspoke.Upstream {
+	return n.upstreams(fuchsiaspoke.EngineUpstream)
+}
+
+func (n *node) services() []fuchsiaspoke.Upstream {
+	return n.upstreams(fuchsiaspoke.ServiceUpstream)
+}
+
+func (n *node) upstreams(kind fuchsiaspoke.UpstreamKind) []fuchsiaspoke.Upstream {
+	var found []fuchsiaspoke.Upstream
+	for _, u := range n.relayer.Catalog().Upstreams() {
+		if u.Kind == kind {
+			found = append(found, u)
+		}
+	}
+	return found
+}
