Dispatch to one engine replica: fair queue, adapter slots, sends

Cause: each replica needs one place that queues fairly, knows which adapters are in use, orders loads and evictions, and sends. Ruled out: use counts kept per table, since a takeover or a restart would forget running streams; they stand beside the slots and outlive both. Callers' goroutines carry their own streams; one goroutine owns the state.

--- /dev/null
+++ b/upstream/dispatcher/engine_test.go
@@ -0,0 +1,215 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+)
+
+// fakeEngine is an engine in memory that ignores fences unless told otherwise and notes what must never happen.
+type fakeEngine struct {
+	slots, batch int
+	loadTime     time.Duration
+	tokenTime    time.Duration
+	checksFence  bool
+	// failLoad decides which loads fail.
+	failLoad func(a fuchsiaspoke.Adapter) bool
+
+	mu       sync.Mutex
+	started  time.Time
+	life     int
+	fence    int64
+	resident map[fuchsiaspoke.Adapter]bool
+	running  map[string]*run
+	faults   []string
+	loads    int
+	evicts   int
+	peak     int
+	sends    map[string]int
+}
+
+// run is one request that the engine runs.
+type run struct {
+	adapter fuchsiaspoke.Adapter
+	stop    chan struct{}
+}
+
+func newEngine(slots, batch int) *fakeEngine {
+	return &fakeEngine{
+		slots:     slots,
+		batch:     batch,
+		loadTime:  3 * time.Millisecond,
+		tokenTime: 500 * time.Microsecond,
+		started:   time.Now(),
+		resident:  make(map[fuchsiaspoke.Adapter]bool),
+		running:   make(map[string]*run),
+		sends:     make(map[string]int),
+	}
+}
+
+func (e *fakeEngine) Load(ctx context.Context, a fuchsiaspoke.Adapter, fence int64) error {
+	if err := e.wait(ctx, e.loadTime); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isOld(fence) {
+		return errors.New("old fence")
+	}
+	if e.failLoad != nil && e.failLoad(a) {
+		return errors.New("weights not found")
+	}
+	if !e.resident[a] && len(e.resident) >= e.slots {
+		return errors.New("no free slot")
+	}
+	e.resident[a] = true
+	e.loads++
+	return nil
+}
+
+func (e *fakeEngine) Unload(_ context.Context, a fuchsiaspoke.Adapter, fence int64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isOld(fence) {
+		return errors.New("old fence")
+	}
+	for id, r := range e.running {
+		if r.adapter == a {
+			e.faults = append(e.faults, fmt.Sprintf("evicted %s@%d in use by %s", a.Name, a.Version, id))
+		}
+	}
+	delete(e.resident, a)
+	e.evicts++
+	return nil
+}
+
+func (e *fakeEngine) Claim(_ context.Context, fence int64) (fuchsiaspoke.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isOld(fence) {
+		return fuchsiaspoke.EngineReport{}, errors.New("old fence")
+	}
+	e.fence = max(e.fence, fence)
+	return e.report(), nil
+}
+
+func (e *fakeEngine) Report(context.Context) (fuchsiaspoke.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.report(), nil
+}
+
+func (e *fakeEngine) Generate(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
+	r, err := e.start(g)
+	if err != nil {
+		return err
+	}
+	defer e.end(g.RequestID, r)
+	for i := range g.MaxOutputTokens {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.stop:
+			return errors.New("connection reset")
+		case <-time.After(e.tokenTime):
+		}
+		c := fuchsiaspoke.Chunk{RequestID: g.RequestID, Index: i, Text: "x", Tokens: 1, Adapter: g.Adapter}
+		if i == g.MaxOutputTokens-1 {
+			c.FinishReason = "stop"
+		}
+		if err := sink(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *fakeEngine) Cancel(_ context.Context, requestID string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.running, requestID)
+	return nil
+}
+
+func (e *fakeEngine) start(g fuchsiaspoke.Generation) (*run, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sends[g.RequestID]++
+	if !e.resident[g.Adapter] {
+		return nil, &fuchsiaspoke.Refusal{Code: fuchsiaspoke.CodeUpstreamFailed, Run: fuchsiaspoke.NotRun, Status: http.StatusNotFound}
+	}
+	if e.running[g.RequestID] != nil {
+		e.faults = append(e.faults, "request sent twice at once: "+g.RequestID)
+	}
+	r := &run{adapter: g.Adapter, stop: make(chan struct{})}
+	e.running[g.RequestID] = r
+	e.peak = max(e.peak, len(e.running))
+	return r, nil
+}
+
+func (e *fakeEngine) end(requestID string, r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running[requestID] == r {
+		delete(e.running, requestID)
+	}
+}
+
+// restart empties the engine and breaks its streams.
+func (e *fakeEngine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.life++
+	e.started = time.Now()
+	e.fence = 0
+	clear(e.resident)
+	for _, r := range e.running {
+		close(r.stop)
+	}
+	clear(e.running)
+}
+
+// report is called with mu held.
+func (e *fakeEngine) report() fuchsiaspoke.EngineReport {
+	r := fuchsiaspoke.EngineReport{
+		AsOfMillis:  time.Since(e.started).Milliseconds(),
+		Incarnation: fmt.Sprint("life-", e.life),
+		Fence:       e.fence,
+	}
+	uses := make(map[fuchsiaspoke.Adapter]int64)
+	for _, run := range e.running {
+		uses[run.adapter]++
+	}
+	for a := range e.resident {
+		r.Resident = append(r.Resident, a)
+	}
+	for a, n := range uses {
+		r.Running = append(r.Running, fuchsiaspoke.AdapterUse{Adapter: a, Requests: n})
+	}
+	return r
+}
+
+func (e *fakeEngine) isOld(fence int64) bool {
+	return e.checksFence && fence < e.fence
+}
+
+func (e *fakeEngine) wait(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(wait):
+		return nil
+	}
+}
+
+func (e *fakeEngine) seen() (faults []string, loads, peak int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.faults...), e.loads, e.peak
+}
--- /dev/null
+++ b/upstream/dispatcher/loading.go
@@ -0,0 +1,251 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+)
+
+const (
+	// maxLoads is the number of loads under way at once on one engine.
+	maxLoads = 2
+	// maxLoadTries is how often a failing load is tried before the work that waits for it is refused.
+	maxLoadTries = 4
+	// firstBackoff and maxBackoff bound the wait between two tries of one load.
+	firstBackoff = 200 * time.Millisecond
+	maxBackoff   = 5 * time.Second
+	// maxDoublings bounds the exponent of a backoff.
+	maxDoublings = 6
+	// forceAfter is how long a request waits before its load may evict an adapter that other work waits for.
+	forceAfter = 500 * time.Millisecond
+	// reserveAfter is how long a request waits before a slot in use is closed to new work for its adapter.
+	reserveAfter = time.Second
+	// unloadMargin is how much of the lease must be left for an unload order.
+	unloadMargin = 500 * time.Millisecond
+)
+
+var errLeaseLost = errors.New("lease lost before the order")
+
+// loaderState is the duty's view of loads.
+type loaderState struct {
+	// acquiring says that a permit is awaited.
+	acquiring bool
+	loads     int
+	failures  map[fuchsiaspoke.Adapter]failure
+	// retryAt keeps permits from being asked for while the budget fails.
+	retryAt time.Duration
+}
+
+// failure counts the failed tries of one load.
+type failure struct {
+	tries   int
+	retryAt time.Duration
+}
+
+// order is one load, with the eviction that makes room for it.
+type order struct {
+	number  int64
+	fence   int64
+	adapter fuchsiaspoke.Adapter
+	victim  fuchsiaspoke.Adapter
+	evict   bool
+	release func()
+}
+
+// need is an adapter to load and the one to evict for it.
+type need struct {
+	adapter fuchsiaspoke.Adapter
+	victim  fuchsiaspoke.Adapter
+	evict   bool
+}
+
+// load asks for a permit where an adapter can be loaded; the adapter is chosen when the permit is there.
+func (d *Dispatcher) load(now time.Duration) {
+	if !d.tenure.active || d.loader.acquiring || d.loader.loads >= maxLoads || now < d.loader.retryAt {
+		return
+	}
+	if _, ok := d.nextNeed(now); !ok {
+		return
+	}
+	d.loader.acquiring = true
+	d.spawn(func(ctx context.Context) message {
+		if d.Permits == nil {
+			return permitted{release: func() {}}
+		}
+		release, err := d.Permits.Acquire(ctx)
+		return permitted{release: release, err: err}
+	})
+}
+
+// nextNeed finds the adapter to load next, in the queue's order, and room for it.
+func (d *Dispatcher) nextNeed(now time.Duration) (need, bool) {
+	var found need
+	ok := false
+	d.queue.Wanted(func(g fuchsiaspoke.Generation, since time.Duration) bool {
+		if !d.slots.NeedLoad(g.Adapter) || now < d.loader.failures[g.Adapter].retryAt {
+			return true
+		}
+		found.adapter = g.Adapter
+		if d.slots.Free() > 0 {
+			ok = true
+			return false
+		}
+		waited := now - since
+		found.victim, ok = d.slots.PickVictim(now, d.isWanted, waited >= forceAfter)
+		found.evict = ok
+		if !ok && waited >= reserveAfter {
+			d.slots.Reserve(now)
+		}
+		return !ok
+	})
+	return found, ok
+}
+
+func (d *Dispatcher) isWanted(a fuchsiaspoke.Adapter) bool {
+	return d.queue.Waiting(a) > 0
+}
+
+// permitted brings a permit, or the failure to get one.
+type permitted struct {
+	release func()
+	err     error
+}
+
+func (m permitted) apply(d *Dispatcher, now time.Duration) {
+	d.loader.acquiring = false
+	if m.err != nil {
+		d.loader.retryAt = now + jittered(firstBackoff)
+		return
+	}
+	if !d.tenure.active || d.workers.Err() != nil {
+		m.release()
+		return
+	}
+	n, ok := d.nextNeed(now)
+	if !ok {
+		m.release()
+		return
+	}
+	if n.evict {
+		d.slots.StartUnload(n.victim)
+	} else {
+		d.slots.StartLoad(now, n.adapter)
+	}
+	d.loader.loads++
+	o := order{number: d.tenure.number, fence: d.tenure.fence, adapter: n.adapter, victim: n.victim, evict: n.evict, release: m.release}
+	d.spawn(o.first(d))
+}
+
+// first is the order's first step: the unload where there is a victim, or else the load.
+func (o order) first(d *Dispatcher) func(ctx context.Context) message {
+	if !o.evict {
+		return o.load(d)
+	}
+	return func(ctx context.Context) message {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		if !d.mayOrder(o.fence, unloadMargin) {
+			return unloaded{o, errLeaseLost}
+		}
+		err := d.Engine.Unload(ctx, o.victim, o.fence)
+		return unloaded{o, errors.Wrapf(err, "unload adapter at upstream %s", d.Upstream.ID)}
+	}
+}
+
+func (o order) load(d *Dispatcher) func(ctx context.Context) message {
+	return func(ctx context.Context) message {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		started := d.Clock()
+		if !d.mayOrder(o.fence, 0) {
+			return loaded{o, 0, errLeaseLost}
+		}
+		err := d.Engine.Load(ctx, o.adapter, o.fence)
+		return loaded{o, d.Clock() - started, errors.Wrapf(err, "load adapter at upstream %s", d.Upstream.ID)}
+	}
+}
+
+// mayOrder is the last look at the lease before an order.
+func (d *Dispatcher) mayOrder(fence int64, margin time.Duration) bool {
+	now := d.Clock()
+	lease, ok := d.Lease(now)
+	return ok && lease.Fence == fence && lease.Until-now > margin
+}
+
+// unloaded is the end of an unload order.
+type unloaded struct {
+	order order
+	err   error
+}
+
+func (m unloaded) apply(d *Dispatcher, now time.Duration) {
+	o := m.order
+	if o.number != d.tenure.number || d.workers.Err() != nil {
+		o.end(d)
+		return
+	}
+	d.slots.EndUnload(now, o.victim, m.err == nil)
+	if m.err != nil {
+		o.end(d)
+		d.loader.retryAt = now + jittered(firstBackoff)
+		return
+	}
+	d.record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventEvicted, Detail: adapterDetail(o.victim)})
+	if !d.slots.NeedLoad(o.adapter) || d.slots.Free() == 0 {
+		o.end(d)
+		return
+	}
+	d.slots.StartLoad(now, o.adapter)
+	d.spawn(o.load(d))
+}
+
+// loaded is the end of a load order.
+type loaded struct {
+	order order
+	taken time.Duration
+	err   error
+}
+
+func (m loaded) apply(d *Dispatcher, now time.Duration) {
+	o := m.order
+	o.end(d)
+	if o.number != d.tenure.number || d.workers.Err() != nil {
+		return
+	}
+	d.slots.EndLoad(now, o.adapter, m.taken, m.err == nil)
+	if m.err == nil {
+		delete(d.loader.failures, o.adapter)
+		d.record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventLoaded, Detail: adapterDetail(o.adapter)})
+		return
+	}
+	d.record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventLoadFailed, Detail: adapterDetail(o.adapter) + ": " + m.err.Error()})
+	d.countFailure(now, o.adapter)
+}
+
+// countFailure backs off from the adapter's load, and refuses the work that waits for it when the tries are used up.
+func (d *Dispatcher) countFailure(now time.Duration, a fuchsiaspoke.Adapter) {
+	f := d.loader.failures[a]
+	f.tries++
+	wait := min(maxBackoff, firstBackoff<<min(f.tries-1, maxDoublings))
+	f.retryAt = now + jittered(wait)
+	if d.reporter.failed {
+		f.tries = min(f.tries, maxLoadTries-1)
+	}
+	if f.tries < maxLoadTries {
+		d.loader.failures[a] = f
+		return
+	}
+	delete(d.loader.failures, a)
+	for _, g := range d.queue.RemoveAdapter(a) {
+		d.refuse(g, loadRefusal())
+	}
+}
+
+// end gives the order's permit back.
+func (o order) end(d *Dispatcher) {
+	d.loader.loads--
+	o.release()
+}
