Share one UDP socket between calls and answers of a VM

Cause: calls left from a socket of their own for each connection, so that neither a firewall nor a test could tell which VM sent. Conclusion: one address per VM.

--- a/cmd/fuchsiaspoke/serve.go
+++ b/cmd/fuchsiaspoke/serve.go
@@ -20,6 +20,7 @@
 	setting(c, &s.zone, "availability-zone", "this VM's availability zone")
 	setting(c, &s.runner.VM.CallerAddress, "caller-address", "IP number and port for callers, over TCP")
 	setting(c, &s.runner.VM.LinkAddress, "link-address", "IP number and port for other VMs, over UDP")
+	setting(c, &s.runner.LinkListen, "link-listen", "IP number and port to bind for other VMs, where it is not the link address")
 	setting(c, &s.runner.AdminAddress, "admin-address", "IP number and port for operators, over TCP")
 	setting(c, &s.runner.PlatformURL, "platform-url", "base address of the platform's configuration service")
 	setting(c, &s.runner.FleetKey, "fleet-key", "secret shared by all VMs, 64 hexadecimal digits")
--- a/link/acceptor/acceptor.go
+++ b/link/acceptor/acceptor.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"sync"
 	"time"
 
@@ -44,12 +43,12 @@
 	a.handlers[method] = answer
 }
 
-// Serve answers calls on the packet connection until the context ends.
-func (a *Acceptor) Serve(ctx context.Context, conn net.PacketConn) error {
+// Serve answers calls on the transport's socket until the context ends.
+func (a *Acceptor) Serve(ctx context.Context, transport *quic.Transport) error {
 	settings := &quic.Config{MaxIdleTimeout: idleTimeout, MaxIncomingStreams: maxStreams}
-	listener, err := quic.Listen(conn, a.TLS, settings)
+	listener, err := transport.Listen(a.TLS, settings)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", conn.LocalAddr())
+		return errors.Wrapf(err, "listen on %s", transport.Conn.LocalAddr())
 	}
 	defer listener.Close()
 	var wg sync.WaitGroup
--- a/link/dialer/dialer.go
+++ b/link/dialer/dialer.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 type Dialer struct {
 	// TLS is the process's key material.
 	TLS *tls.Config
+	// Transport is the socket that calls leave from; nil means one of their own for each connection.
+	Transport *quic.Transport
 
 	mu    sync.Mutex
 	conns map[string]*entry
@@ -176,7 +179,7 @@
 		MaxIdleTimeout:       idleTimeout,
 		KeepAlivePeriod:      keepAlive,
 	}
-	conn, err := quic.DialAddr(ctx, vm.LinkAddress, d.TLS, settings)
+	conn, err := d.connect(ctx, vm.LinkAddress, settings)
 	if err != nil {
 		return nil, err
 	}
@@ -191,6 +194,17 @@
 	return conn, nil
 }
 
+func (d *Dialer) connect(ctx context.Context, address string, settings *quic.Config) (*quic.Conn, error) {
+	if d.Transport == nil {
+		return quic.DialAddr(ctx, address, d.TLS, settings)
+	}
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	return d.Transport.Dial(ctx, to, d.TLS, settings)
+}
+
 func (d *Dialer) drop(vm fuchsiaspoke.VM, conn *quic.Conn) {
 	e := d.entry(vm)
 	e.mu.Lock()
--- a/link/dialer/dialer_test.go
+++ b/link/dialer/dialer_test.go
@@ -14,6 +14,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/keyring"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
 )
 
 func start(t *testing.T, fleetKey, id string) (fuchsiaspoke.VM, context.CancelFunc) {
@@ -45,7 +46,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- a.Serve(ctx, conn) }()
+	go func() { done <- a.Serve(ctx, &quic.Transport{Conn: conn}) }()
 	t.Cleanup(func() { cancel(); <-done; conn.Close() })
 	return fuchsiaspoke.VM{ID: id, LinkAddress: conn.LocalAddr().String()}, cancel
 }
--- a/upstream/balancer/balancer.go
+++ b/upstream/balancer/balancer.go
@@ -29,6 +29,11 @@
 	Update(ctx context.Context, update fuchsiaspoke.TokenUpdate) error
 }
 
+type budget interface {
+	Add()
+	Take() bool
+}
+
 // Balancer sends calls to the replicas of plain services.
 type Balancer struct {
 	// Services returns the services in force.
@@ -39,8 +44,8 @@
 	Spender spender
 	// Check is the last look at the key and the profile before sending.
 	Check func(keyHash, profile string) error
-	// Budget reports whether a further attempt may be made.
-	Budget func() bool
+	// Budget bounds the retries.
+	Budget budget
 	// Record puts an event on the time line.
 	Record func(fuchsiaspoke.Event)
 	// Clock returns the time since the process started; it goes on while the process is suspended.
@@ -86,6 +91,7 @@
 	if len(replicas) == 0 {
 		return fuchsiaspoke.Reply{}, noReplica(call.Service)
 	}
+	b.Budget.Add()
 	attempts := 1
 	if call.IdempotencyKey == "" {
 		attempts = maxAttempts
@@ -95,7 +101,7 @@
 	for n := range attempts {
 		upstream := replicas[n%len(replicas)]
 		reply, err = b.send(ctx, call, upstream, last)
-		if err == nil || ctx.Err() != nil || final(err) || n+1 < attempts && !b.Budget() {
+		if err == nil || ctx.Err() != nil || final(err) || n+1 < attempts && !b.Budget.Take() {
 			return reply, err
 		}
 	}
--- a/vm/router/router.go
+++ b/vm/router/router.go
@@ -35,6 +35,11 @@
 	Submit(ctx context.Context, upstream string, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error
 }
 
+type budget interface {
+	Add()
+	Take() bool
+}
+
 // Router finds the replica for an adapter and follows the answer.
 type Router struct {
 	// Self is this VM's id.
@@ -49,8 +54,8 @@
 	Live func() []fuchsiaspoke.PeerState
 	// Clock returns the time since the process started.
 	Clock func() time.Duration
-	// Budget reports whether a further attempt may be made.
-	Budget func() bool
+	// Budget bounds the retries.
+	Budget budget
 }
 
 // Envelope is one generation on its way to an engine's queue.
@@ -71,6 +76,7 @@
 //
 // A generation that surely did not run is tried at another replica within its patience; once a part was handed out it is not tried again.
 func (r *Router) Deliver(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
+	r.Budget.Add()
 	deadline := r.Clock() + g.Patience
 	tried := make(map[string]bool)
 	var last error = noUpstream("no replica of model " + g.BaseModel + " is served at the moment")
@@ -93,7 +99,7 @@
 		}
 		last = err
 		attempt++
-		if !notRun(err) || !r.Budget() {
+		if !notRun(err) || !r.Budget.Take() {
 			return err
 		}
 	}
--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -38,6 +38,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/relayer"
 	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
 	"k8s.io/klog/v2"
 )
 
@@ -88,7 +89,7 @@
 	turn       atomic.Uint64
 	callers    net.Listener
 	admin      net.Listener
-	links      net.PacketConn
+	links      *quic.Transport
 	endCallers context.CancelFunc
 	callersEnd chan error
 }
@@ -121,10 +122,15 @@
 }
 
 func (n *node) listen() error {
-	var err error
-	if n.links, err = net.ListenPacket("udp", n.settings.VM.LinkAddress); err != nil {
-		return errors.Wrapf(err, "listen for VMs on %s", n.settings.VM.LinkAddress)
+	address := n.settings.LinkListen
+	if address == "" {
+		address = n.settings.VM.LinkAddress
 	}
+	conn, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for VMs on %s", address)
+	}
+	n.links = &quic.Transport{Conn: conn}
 	if n.callers, err = listenTCP(n.settings.VM.CallerAddress); err != nil {
 		return errors.Wrap(err, "callers")
 	}
@@ -134,7 +140,8 @@
 
 func (n *node) close() {
 	if n.links != nil {
-		n.links.Close()
+		_ = n.links.Close()
+		n.links.Conn.Close()
 	}
 	if n.callers != nil {
 		n.callers.Close()
@@ -149,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	n.dialer = &dialer.Dialer{TLS: config}
+	n.dialer = &dialer.Dialer{TLS: config, Transport: n.links}
 	n.acceptor = &acceptor.Acceptor{TLS: config}
 	return nil
 }
@@ -354,11 +361,11 @@
 	}
 	n.router = &router.Router{
 		Self: n.settings.VM.ID, Local: n.manager, Caller: n.dialer, Engines: n.engines,
-		Live: n.gossiper.Live, Clock: n.timer.Now, Budget: n.budget.Take,
+		Live: n.gossiper.Live, Clock: n.timer.Now, Budget: &n.budget,
 	}
 	n.balancer = &balancer.Balancer{
 		Services: n.services, Zone: n.settings.VM.Zone, Spender: n.spender, Check: n.check,
-		Budget: n.budget.Take, Record: n.record, Clock: n.timer.Now,
+		Budget: &n.budget, Record: n.record, Clock: n.timer.Now,
 	}
 	n.acceptor.Handle(router.Method, n.manager.Serve)
 	n.acceptor.Handle(spender.ReserveMethod, n.granter.ServeReserve)
--- a/vm/runner/runner.go
+++ b/vm/runner/runner.go
@@ -26,6 +26,8 @@
 type Runner struct {
 	// VM is this VM as other VMs and callers reach it.
 	VM fuchsiaspoke.VM
+	// LinkListen is where the VM itself listens for other VMs; empty means the VM's link address.
+	LinkListen string
 	// AdminAddress is where operators reach the administration API.
 	AdminAddress string
 	// PlatformURL is the base address of the platform's configuration service.
@@ -49,6 +51,9 @@
 		{"link-address", r.VM.LinkAddress},
 		{"admin-address", r.AdminAddress},
 	}
+	if r.LinkListen != "" {
+		addresses = append(addresses, struct{ name, value string }{"link-listen", r.LinkListen})
+	}
 	for _, address := range addresses {
 		if _, err := netip.ParseAddrPort(address.value); err != nil {
 			return errors.Errorf("%s: %q is not allowed; give an IP number and a port, as in 127.0.0.1:8080", address.name, address.value)
