--- a/generation.go
+++ b/generation.go
@@ -48,6 +48,8 @@
 type EngineReport struct {
 	// AsOfMillis is the engine's own clock, in milliseconds since it started.
 	AsOfMillis int64 `json:"as_of_ms"`
+	// NowMillis is the same clock when the engine answered.
+	NowMillis int64 `json:"now_ms"`
 	// Incarnation changes when the engine restarts.
 	Incarnation string `json:"incarnation"`
 	// Fence is the highest fencing number that the engine has seen.
