--- a/lease.go
+++ b/lease.go
@@ -22,6 +22,12 @@
 	Release bool `cbor:"7,keyasint,omitempty"`
 	// Number matches an answer to its ask.
 	Number uint64 `cbor:"8,keyasint"`
+	// Floor is the revision up to which the asker has sealed all lists.
+	Floor int64 `cbor:"9,keyasint,omitempty"`
+	// Fences holds the asker's fencing number for each of Resources; zero stands for none yet.
+	Fences []int64 `cbor:"10,keyasint,omitempty"`
+	// Ready says that the asker may grant, so that it needs no more than the answer to this ask.
+	Ready bool `cbor:"11,keyasint,omitempty"`
 }
 
 // LeasePromise is a grantor's word on one resource.
@@ -42,7 +48,10 @@
 	Chain       []int64        `cbor:"4,keyasint"`
 	Lists       []VMList       `cbor:"5,keyasint,omitempty"`
 	Ready       bool           `cbor:"6,keyasint"`
-	Promises    []LeasePromise `cbor:"7,keyasint,omitempty"`
+	// Promises answers for the resources asked for; others follow for their fences where the asker may need them.
+	Promises []LeasePromise `cbor:"7,keyasint,omitempty"`
+	// Floor is the revision up to which the grantor has sealed all lists.
+	Floor int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Lease is the right to act for a resource, counted on the holder's own clock.
