--- a/lease.go
+++ b/lease.go
@@ -42,12 +42,12 @@
 
 // LeaseAnswer is a grantor's answer to one ask.
 type LeaseAnswer struct {
-	From        string         `cbor:"1,keyasint"`
-	Incarnation string         `cbor:"2,keyasint"`
-	Number      uint64         `cbor:"3,keyasint"`
-	Chain       []int64        `cbor:"4,keyasint"`
-	Lists       []VMList       `cbor:"5,keyasint,omitempty"`
-	Ready       bool           `cbor:"6,keyasint"`
+	From        string   `cbor:"1,keyasint"`
+	Incarnation string   `cbor:"2,keyasint"`
+	Number      uint64   `cbor:"3,keyasint"`
+	Chain       []int64  `cbor:"4,keyasint"`
+	Lists       []VMList `cbor:"5,keyasint,omitempty"`
+	Ready       bool     `cbor:"6,keyasint"`
 	// Promises answers for the resources asked for; others follow for their fences where the asker may need them.
 	Promises []LeasePromise `cbor:"7,keyasint,omitempty"`
 	// Floor is the revision up to which the grantor has sealed all lists.
