--- a/standin/starter/starter.go
+++ b/standin/starter/starter.go
@@ -24,6 +24,8 @@
 	Services []*service.Service
 	// BaseModel and ServiceName go into the upstreams document.
 	BaseModel, ServiceName string
+	// PlatformAddress is where the platform listens; empty stands for a free port on loopback.
+	PlatformAddress string
 	// Zones are given to the upstreams in turn; none stands for "zone_a".
 	Zones []fuchsiaspoke.Zone
 
@@ -42,7 +44,7 @@
 // Start serves everything until ctx ends and publishes the upstreams document; Wait returns how it ended.
 func (s *Starter) Start(ctx context.Context) error {
 	s.done = make(chan error, 1+len(s.Engines)+len(s.Services))
-	address, err := s.serve(ctx, s.Platform.Serve)
+	address, err := s.serve(ctx, s.PlatformAddress, s.Platform.Serve)
 	if err != nil {
 		return errors.Wrap(err, "start the platform")
 	}
@@ -51,7 +53,7 @@
 		if e.Store == nil {
 			e.Store = &s.Store
 		}
-		address, err := s.serve(ctx, e.Serve)
+		address, err := s.serve(ctx, "", e.Serve)
 		if err != nil {
 			return errors.Wrapf(err, "start engine %d", i)
 		}
@@ -61,7 +63,7 @@
 		})
 	}
 	for i, srv := range s.Services {
-		address, err := s.serve(ctx, srv.Serve)
+		address, err := s.serve(ctx, "", srv.Serve)
 		if err != nil {
 			return errors.Wrapf(err, "start service %d", i)
 		}
@@ -140,8 +142,11 @@
 	return s.Zones[i%len(s.Zones)]
 }
 
-func (s *Starter) serve(ctx context.Context, serve func(context.Context, net.Listener) error) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (s *Starter) serve(ctx context.Context, address string, serve func(context.Context, net.Listener) error) (string, error) {
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", err
 	}
--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -285,7 +285,7 @@
 	}
 	n.admitter.Recheck(c)
 	n.manager.Withdraw(c)
-	n.granter.Change(c)
+	n.granter.Change()
 	n.gossiper.Wake()
 }
 
@@ -345,7 +345,7 @@
 }
 
 func (n *node) buildUpstream() {
-	n.granter = &granter.Granter{Clock: n.timer.Now, Record: n.record, Account: n.account}
+	n.granter = &granter.Granter{Held: n.holder.Held, Clock: n.timer.Now, Record: n.record, Account: n.account}
 	n.spender = &spender.Spender{
 		Self: n.settings.VM.ID, Local: n.granter, Caller: n.dialer, HolderOf: n.holderOf, Clock: n.timer.Now,
 	}
