--- /dev/null
+++ b/contract/catalog/bench_test.go
@@ -0,0 +1,110 @@
+package catalog_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/catalog"
+)
+
+func shardBody(tb testing.TB, shard, perShard int, version int64) fuchsiaspoke.Document {
+	tb.Helper()
+	items := make([]fuchsiaspoke.Profile, perShard)
+	for i := range items {
+		n := shard*perShard + i
+		items[i] = fuchsiaspoke.Profile{
+			Name: fmt.Sprintf("adapter-profile-%06d", n), ClientAccounts: []string{"saathi", "hosts"}, BaseModel: "base-7b",
+			Adapter: fuchsiaspoke.Adapter{Name: fmt.Sprintf("adapter-%06d", n), Version: version}, MaxOutputTokens: 512,
+		}
+	}
+	body, err := json.Marshal(map[string]any{"kind": "profiles", "items": items})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return fuchsiaspoke.Document{Name: fmt.Sprintf("profiles_%02d", shard), Revision: version, Body: body}
+}
+
+func filled(tb testing.TB, profiles, shards int) catalog.Catalog {
+	tb.Helper()
+	var c catalog.Catalog
+	for shard := range shards {
+		next, err := c.With(shardBody(tb, shard, profiles/shards, 1))
+		if err != nil {
+			tb.Fatal(err)
+		}
+		c = next
+	}
+	return c
+}
+
+var sizes = []struct{ profiles, shards int }{{3000, 1}, {160_000, 40}}
+
+func BenchmarkProfile(b *testing.B) {
+	for _, size := range sizes {
+		c := filled(b, size.profiles, size.shards)
+		lookups := make([]string, 4096)
+		for i := range lookups {
+			lookups[i] = fmt.Sprintf("adapter-profile-%06d", i*7919%size.profiles)
+		}
+		b.Run(fmt.Sprint(size.profiles), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, ok := c.Profile(lookups[i%len(lookups)]); !ok {
+					b.Fatal("not found")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkWith publishes one shard anew: same names, other versions.
+func BenchmarkWith(b *testing.B) {
+	for _, size := range sizes {
+		c := filled(b, size.profiles, size.shards)
+		doc := shardBody(b, size.shards-1, size.profiles/size.shards, 2)
+		b.Run(fmt.Sprint(size.profiles), func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetBytes(int64(len(doc.Body)))
+			for b.Loop() {
+				if _, err := c.With(doc); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkFill builds a whole catalog, as a restarted VM does, and reports its memory.
+func BenchmarkFill(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size.profiles), func(b *testing.B) {
+			docs := make([]fuchsiaspoke.Document, size.shards)
+			for i := range docs {
+				docs[i] = shardBody(b, i, size.profiles/size.shards, 1)
+			}
+			var c catalog.Catalog
+			before := heap()
+			for b.Loop() {
+				c = catalog.Catalog{}
+				for _, doc := range docs {
+					c, _ = c.With(doc)
+				}
+			}
+			b.ReportMetric(float64(heap()-before)/float64(size.profiles), "B/profile")
+			b.ReportMetric(float64(len(docs[0].Body)), "B/document")
+			runtime.KeepAlive(c)
+			runtime.KeepAlive(docs)
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/contract/catalog/catalog_test.go
@@ -0,0 +1,259 @@
+package catalog_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/catalog"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/parser"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var seed = flag.Int64("seed", 1, "seed of the random runs")
+
+func ExampleCatalog_With() {
+	var c catalog.Catalog
+	body := `{"kind":"client_accounts","items":[{"name":"saathi","rate_tokens_per_second":%d,"burst_tokens":100}]}`
+	for _, revision := range []int64{7, 9, 8} {
+		c, _ = c.With(fuchsiaspoke.Document{
+			Name: "client_accounts", Revision: revision, Body: fmt.Appendf(nil, body, revision),
+		})
+	}
+	c, err := c.With(fuchsiaspoke.Document{Name: "client_accounts", Revision: 10, Body: []byte(`{"kind":"client_accounts"}`)})
+	account, _ := c.Account("saathi")
+	fmt.Println(account.RateTokensPerSecond, c.Revision("client_accounts"), err)
+	fmt.Println(c.Refused())
+	// Output:
+	// 9 9 client_accounts: items: is missing
+	// [{client_accounts 10 [client_accounts: items: is missing]}]
+}
+
+const (
+	revisions = 6
+	pool      = 5
+)
+
+var names = []string{
+	"vms", "upstreams", "upstreams_b", "profiles", "profiles_01", "profiles_02",
+	"client_accounts", "client_accounts_z", "keys", "keys_a", "keys_b",
+}
+
+// published gives the one document that a universe has for a name and a revision; a quarter of them are faulty.
+func published(universe int64, number int) fuchsiaspoke.Document {
+	name, revision := names[number/revisions], int64(number%revisions+1)
+	r := rand.New(rand.NewPCG(uint64(universe), uint64(number)))
+	doc := fuchsiaspoke.Document{Name: name, Revision: revision}
+	if r.IntN(4) == 0 {
+		doc.Body = json.RawMessage(`{"kind":"keys","items":[{"sha256":"no"}]}`)
+		return doc
+	}
+	kind := kindOf(name)
+	items := []any{}
+	for i := range pool {
+		if r.IntN(2) == 0 || i == 0 && kind == fuchsiaspoke.VMsDocument {
+			items = append(items, itemFor(kind, i, name, revision, r.IntN(3) == 0))
+		}
+	}
+	doc.Body, _ = json.Marshal(map[string]any{"kind": kind, "items": items})
+	return doc
+}
+
+func kindOf(name string) fuchsiaspoke.DocumentKind {
+	for _, kind := range []fuchsiaspoke.DocumentKind{"vms", "upstreams", "profiles", "client_accounts", "keys"} {
+		if len(name) >= len(kind) && name[:len(kind)] == string(kind) {
+			return kind
+		}
+	}
+	panic(name)
+}
+
+func itemFor(kind fuchsiaspoke.DocumentKind, i int, document string, revision int64, withdrawn bool) any {
+	id := fmt.Sprint("n", i)
+	switch kind {
+	case fuchsiaspoke.VMsDocument:
+		return fuchsiaspoke.VM{ID: id, Zone: "a", CallerAddress: fmt.Sprint("127.0.0.1:", 1000+i), LinkAddress: fmt.Sprint("127.0.0.1:", 2000+i)}
+	case fuchsiaspoke.UpstreamsDocument:
+		return fuchsiaspoke.Upstream{ID: id, Kind: "service", Service: document, Zone: "a", Address: fmt.Sprint("127.0.0.1:", 3000+i)}
+	case fuchsiaspoke.ProfilesDocument:
+		return fuchsiaspoke.Profile{
+			Name: id, ClientAccounts: []string{document}, BaseModel: "base",
+			Adapter: fuchsiaspoke.Adapter{Name: "x", Version: revision}, MaxOutputTokens: 1,
+		}
+	case fuchsiaspoke.AccountsDocument:
+		return fuchsiaspoke.ClientAccount{Name: id, RateTokensPerSecond: float64(revision), BurstTokens: 1}
+	}
+	return fuchsiaspoke.Key{Hash: hash(i), Account: document, Withdrawn: withdrawn}
+}
+
+func hash(i int) string { return fmt.Sprintf("%064x", i) }
+
+// view is all that a catalog tells.
+type view struct {
+	Profiles  [pool]fuchsiaspoke.Profile
+	Accounts  [pool]fuchsiaspoke.ClientAccount
+	Keys      [pool]fuchsiaspoke.Key
+	Upstreams []fuchsiaspoke.Upstream
+	VMs       fuchsiaspoke.VMList
+	Documents []fuchsiaspoke.Document
+	Warnings  []fuchsiaspoke.DocumentFault
+	Digest    fuchsiaspoke.Digest
+}
+
+func look(c catalog.Catalog) view {
+	v := view{Upstreams: c.Upstreams(), VMs: c.VMList(), Documents: c.Documents(), Warnings: c.Warnings(), Digest: c.Digest()}
+	for i := range pool {
+		v.Profiles[i], _ = c.Profile(fmt.Sprint("n", i))
+		v.Accounts[i], _ = c.Account(fmt.Sprint("n", i))
+		v.Keys[i], _ = c.Key(hash(i))
+	}
+	return v
+}
+
+// expected works the lookups out from the set of documents alone, without a catalog.
+func expected(universe int64, order []int) view {
+	var v view
+	var withdrawn [pool]bool
+	for n, name := range names {
+		best, content := bestOf(universe, n, order)
+		if best.Revision == 0 {
+			continue
+		}
+		if name == "vms" {
+			v.VMs = fuchsiaspoke.VMList{Revision: best.Revision, VMs: content.VMs}
+		}
+		for i := range pool {
+			id := fmt.Sprint("n", i)
+			for _, p := range content.Profiles {
+				if p.Name == id && v.Profiles[i].Name == "" {
+					v.Profiles[i] = p
+				}
+			}
+			for _, a := range content.Accounts {
+				if a.Name == id && v.Accounts[i].Name == "" {
+					v.Accounts[i] = a
+				}
+			}
+			for _, k := range content.Keys {
+				withdrawn[i] = withdrawn[i] || k.Hash == hash(i) && k.Withdrawn
+				if k.Hash == hash(i) && v.Keys[i].Hash == "" {
+					v.Keys[i] = k
+				}
+			}
+		}
+	}
+	for i := range pool {
+		v.Keys[i].Withdrawn = withdrawn[i]
+	}
+	return v
+}
+
+func bestOf(universe int64, n int, order []int) (best fuchsiaspoke.Document, content fuchsiaspoke.Content) {
+	for _, number := range order {
+		doc := published(universe, number)
+		if number/revisions != n || doc.Revision <= best.Revision {
+			continue
+		}
+		if c, err := (parser.Parser{}).Parse(doc); err == nil {
+			best, content = doc, c
+		}
+	}
+	return best, content
+}
+
+// TestAnyOrderGivesTheSameCatalog takes the same documents in two orders, with older revisions and repetitions.
+func TestAnyOrderGivesTheSameCatalog(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(*seed)
+	parameters.MinSuccessfulTests = 100
+	parameters.MaxSize = 60
+	properties := gopter.NewProperties(parameters)
+	orders := gen.SliceOf(gen.IntRange(0, len(names)*revisions-1))
+	properties.Property("order and repetition", prop.ForAll(func(universe int64, order []int, shuffle int64) string {
+		r := rand.New(rand.NewPCG(uint64(shuffle), 0))
+		other := slices.Concat(order, order[:r.IntN(len(order)+1)])
+		r.Shuffle(len(other), func(i, j int) { other[i], other[j] = other[j], other[i] })
+		one, problem := take(universe, order)
+		two, problem2 := take(universe, other)
+		if problem+problem2 != "" {
+			return problem + problem2
+		}
+		if a, b := look(one), look(two); !reflect.DeepEqual(a, b) {
+			return fmt.Sprintf("in force differs:\n%+v\n%+v", a, b)
+		}
+		if !reflect.DeepEqual(one.Refused(), two.Refused()) && len(one.Refused())+len(two.Refused()) > 0 {
+			return fmt.Sprintf("refused differs: %v %v", one.Refused(), two.Refused())
+		}
+		return compareExpected(look(one), expected(universe, order))
+	}, gen.Int64(), orders, gen.Int64()))
+	properties.TestingRun(t)
+}
+
+// take gives the documents to a catalog and checks at each step that nothing reverts and that a faulty one changes nothing.
+func take(universe int64, order []int) (catalog.Catalog, string) {
+	var c catalog.Catalog
+	for _, number := range order {
+		doc := published(universe, number)
+		before := look(c)
+		next, err := c.With(doc)
+		for _, name := range names {
+			if next.Revision(name) < c.Revision(name) {
+				return c, fmt.Sprintf("%s went back from %d to %d", name, c.Revision(name), next.Revision(name))
+			}
+		}
+		if err != nil && !reflect.DeepEqual(before, look(next)) {
+			return c, fmt.Sprintf("faulty %s %d changed what is in force", doc.Name, doc.Revision)
+		}
+		if !reflect.DeepEqual(before, look(c)) {
+			return c, "a snapshot changed"
+		}
+		c = next
+	}
+	return c, ""
+}
+
+func compareExpected(got, want view) string {
+	if !reflect.DeepEqual(got.Profiles, want.Profiles) || !reflect.DeepEqual(got.Accounts, want.Accounts) ||
+		!reflect.DeepEqual(got.Keys, want.Keys) || !reflect.DeepEqual(got.VMs, want.VMs) {
+		return fmt.Sprintf("got %+v\nwant %+v", got, want)
+	}
+	return ""
+}
+
+func TestOneRevisionWithTwoContentsIsTold(t *testing.T) {
+	var c catalog.Catalog
+	first := fuchsiaspoke.Document{Name: "keys", Revision: 4, Body: []byte(`{"kind":"keys","items":[]}`)}
+	spaced := fuchsiaspoke.Document{Name: "keys", Revision: 4, Body: []byte(`{"items": [], "kind": "keys"}`)}
+	other := fuchsiaspoke.Document{Name: "keys", Revision: 4, Body: []byte(`{"kind":"keys","items":[{"sha256":"` + hash(1) + `","client_account":"x"}]}`)}
+	c, _ = c.With(first)
+	c, err := c.With(spaced)
+	if err != nil || len(c.Refused()) != 0 {
+		t.Errorf("equal content in another form: %v", err)
+	}
+	c, err = c.With(other)
+	if _, found := c.Key(hash(1)); err == nil || found || len(c.Refused()) != 1 {
+		t.Errorf("err %v, found %v, refused %v", err, found, c.Refused())
+	}
+}
+
+func TestLookupsDoNotAllocate(t *testing.T) {
+	c := filled(t, 300, 3)
+	c, _ = c.With(published(1, slices.Index(names, "keys")*revisions))
+	key := hash(1)
+	allocs := testing.AllocsPerRun(100, func() {
+		_, _ = c.Profile("adapter-profile-000123")
+		_, _ = c.Account("saathi")
+		_, _ = c.Key(key)
+		_, _, _ = c.Upstreams(), c.VMList(), c.Digest()
+		_ = c.Refused()
+	})
+	if allocs != 0 {
+		t.Errorf("%v allocations", allocs)
+	}
+}
