Serve the whole path through separate processes, thin

Cause: the duties were not joined. Ruled out: one connection a call between VMs; sending to engines from every VM, which leaves 'in use' unknown. Not there yet: rate and burst (everything is granted), metrics, time line command, demo, check.

--- /dev/null
+++ b/contract/catalog/listing.go
@@ -0,0 +1,48 @@
+package catalog
+
+import (
+	"iter"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+)
+
+// Accounts yields the client accounts in force, each once.
+func (c Catalog) Accounts() iter.Seq[fuchsiaspoke.ClientAccount] {
+	return func(yield func(fuchsiaspoke.ClientAccount) bool) {
+		for _, s := range c.held {
+			for at, account := range s.content.Accounts {
+				if decides, first := c.accounts.find(account.Name); decides != s || first != at {
+					continue
+				}
+				if !yield(account) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Profiles yields the profiles in force, each once.
+func (c Catalog) Profiles() iter.Seq[fuchsiaspoke.Profile] {
+	return func(yield func(fuchsiaspoke.Profile) bool) {
+		for _, s := range c.held {
+			for at, profile := range s.content.Profiles {
+				if decides, first := c.profiles.find(profile.Name); decides != s || first != at {
+					continue
+				}
+				if !yield(profile) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Revisions returns the revision in force of each document.
+func (c Catalog) Revisions() map[string]int64 {
+	revisions := make(map[string]int64, len(c.held))
+	for _, s := range c.held {
+		revisions[s.doc.Name] = s.doc.Revision
+	}
+	return revisions
+}
--- a/vm/runner/answers.go
+++ b/vm/runner/answers.go
@@ -5,6 +5,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/authenticator"
+	"k8s.io/klog/v2"
 )
 
 // entries are the VMs that callers may use: the ones in the caller's availability zone first.
@@ -54,7 +55,7 @@
 }
 
 func (n *node) observe(refusal *fuchsiaspoke.Refusal) {
-	n.meter.Refused(refusal.Code, "")
+	klog.V(1).InfoS("Refused", "code", refusal.Code, "run", refusal.Run, "message", refusal.Message)
 }
 
 func (n *node) status() fuchsiaspoke.Status {
