Hold client accounts to rate and burst at the holder of the account's lease

Cause: the thin granter granted everything. Ruled out: shares of a bucket at each entry VM: they strand tokens where demand is not, and a lost VM's share returns only with its lease. Change: one bucket for each client account, at its lease's holder; a successor first adopts what all live VMs still use; a planned handover credits the level to the very next lease.

--- a/contract/spender/spender.go
+++ b/contract/spender/spender.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -47,8 +48,13 @@
 	Caller caller
 	// HolderOf returns the VM that holds the resource's lease, as far as this VM heard.
 	HolderOf func(resource string) (fuchsiaspoke.VM, bool)
+	// Peers returns the other live VMs.
+	Peers func() []fuchsiaspoke.VM
 	// Clock returns the time since the process started.
 	Clock func() time.Duration
+
+	mu   sync.Mutex
+	uses map[string]map[string]fuchsiaspoke.TokenUse
 }
 
 // Resource is the name of a client account's lease.
@@ -64,6 +70,7 @@
 		ask.Patience = max(deadline-began, 0)
 		grant, err := s.reserve(ctx, ask)
 		if err == nil {
+			s.track(grant)
 			return grant, began + grant.Valid, nil
 		}
 		if final(err) || s.Clock()+searchInterval > deadline {
@@ -99,6 +106,7 @@
 
 // Update reports the use of a reservation; a lost report destroys tokens and never makes them.
 func (s *Spender) Update(ctx context.Context, update fuchsiaspoke.TokenUpdate) error {
+	s.count(update)
 	vm, ok := s.HolderOf(Resource(update.Account))
 	if !ok {
 		return unavailable(update.Account)
@@ -132,12 +140,12 @@
 // final reports whether the holder itself refused, so that looking for another is of no use.
 func final(err error) bool {
 	var refusal *fuchsiaspoke.Refusal
-	return errors.As(err, &refusal) && refusal.Code == fuchsiaspoke.CodeRateExceeded
+	return errors.As(err, &refusal) && refusal.Code != fuchsiaspoke.CodeLeaseLost
 }
 
 func refuse(err error) error {
 	var refusal *fuchsiaspoke.Refusal
-	if errors.As(err, &refusal) && refusal.Code == fuchsiaspoke.CodeRateExceeded {
+	if errors.As(err, &refusal) && refusal.Code != fuchsiaspoke.CodeLeaseLost {
 		return refusal
 	}
 	return (fuchsiaspoke.Refusal{
--- a/status.go
+++ b/status.go
@@ -20,7 +20,7 @@
 type AccountState struct {
 	Account string `json:"client_account"`
 	// LevelTokens is what can be reserved at once.
-	LevelTokens float64 `json:"level_tokens"`
+	LevelTokens int64 `json:"level_tokens"`
 	// OutstandingTokens is reserved and not yet used.
 	OutstandingTokens int64 `json:"outstanding_tokens"`
 	// Waiting is the number of requests that wait for tokens.
--- a/tokens.go
+++ b/tokens.go
@@ -8,6 +8,8 @@
 	// ID is the request's id; asking again with it returns the same reservation.
 	ID     string `cbor:"2,keyasint"`
 	Tokens int64  `cbor:"3,keyasint"`
+	// Likely is what the request will likely cost; Tokens is the bound on it.
+	Likely int64 `cbor:"5,keyasint,omitempty"`
 	// Patience is how long the asker is ready to wait.
 	Patience time.Duration `cbor:"4,keyasint"`
 }
@@ -33,3 +35,18 @@
 	// Finished returns what was not used.
 	Finished bool `cbor:"5,keyasint,omitempty"`
 }
+
+// TokenUse is a reservation that a VM made and has not finished.
+type TokenUse struct {
+	ID       string `cbor:"1,keyasint"`
+	Tokens   int64  `cbor:"2,keyasint"`
+	Consumed int64  `cbor:"3,keyasint"`
+}
+
+// TokenHandover is the level of a bucket that its holder closed before it gave the lease back.
+type TokenHandover struct {
+	Account string `cbor:"1,keyasint"`
+	// Fence is the lease that ended; only the holder of the next one is credited.
+	Fence  int64 `cbor:"2,keyasint"`
+	Tokens int64 `cbor:"3,keyasint"`
+}
--- a/vm/admitter/admitter.go
+++ b/vm/admitter/admitter.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,6 +21,10 @@
 	settleTokens = 64
 	// settleTimeout bounds the report at the end of a request.
 	settleTimeout = 2 * time.Second
+	// maxReservations bounds the reservations of one request whose leases move under it.
+	maxReservations = 3
+	// likelyBytesPerToken turns the bound on a prompt's tokens into their likely number.
+	likelyBytesPerToken = 4
 )
 
 type spender interface {
@@ -106,20 +111,36 @@
 	ctx, end := a.begin(ctx, g.RequestID, g.KeyHash, g.Profile)
 	defer end()
 	a.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventAdmitted, RequestID: g.RequestID, Account: account, Tokens: g.CostTokens()})
+	deadline := time.Now().Add(patience)
+	for attempt := 0; ; attempt++ {
+		g.Patience = time.Until(deadline)
+		err := a.attempt(ctx, *g, attempt, sink)
+		if !leaseMoved(err) || attempt == maxReservations || time.Now().After(deadline) {
+			return cause(ctx, err)
+		}
+	}
+}
+
+// attempt reserves the generation's tokens and delivers it; a lease that moved in between voids the reservation.
+func (a *Admitter) attempt(ctx context.Context, g fuchsiaspoke.Generation, attempt int, sink func(fuchsiaspoke.Chunk) error) error {
 	began := time.Now()
 	grant, _, err := a.Spender.Reserve(ctx, fuchsiaspoke.TokenAsk{
-		Account: account, ID: g.RequestID, Tokens: g.CostTokens(), Patience: g.Patience,
+		Account:  g.Account,
+		ID:       g.RequestID + "/" + strconv.Itoa(attempt),
+		Tokens:   g.CostTokens(),
+		Likely:   g.PromptTokens/likelyBytesPerToken + g.MaxOutputTokens,
+		Patience: g.Patience,
 	})
 	if err != nil {
-		return cause(ctx, err)
+		return err
 	}
 	g.Grant = grant
 	g.Patience -= time.Since(began)
-	return cause(ctx, a.deliver(ctx, *g, sink))
+	return a.deliver(ctx, g, sink)
 }
 
 func (a *Admitter) deliver(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
-	use := fuchsiaspoke.TokenUpdate{Account: g.Account, ID: g.RequestID, Fence: g.Grant.Fence}
+	use := fuchsiaspoke.TokenUpdate{Account: g.Account, ID: g.Grant.ID, Fence: g.Grant.Fence}
 	prompt, output, reported := g.PromptTokens, int64(0), int64(0)
 	err := a.Router.Deliver(ctx, g, func(chunk fuchsiaspoke.Chunk) error {
 		if chunk.PromptTokens > 0 {
@@ -231,6 +252,12 @@
 	return errors.As(err, &refusal) && refusal.Run == fuchsiaspoke.NotRun
 }
 
+// leaseMoved reports whether a generation was refused, surely not run, because a lease went to another VM.
+func leaseMoved(err error) bool {
+	var refusal *fuchsiaspoke.Refusal
+	return errors.As(err, &refusal) && refusal.Run == fuchsiaspoke.NotRun && refusal.Code == fuchsiaspoke.CodeLeaseLost
+}
+
 func invalid(message string) error {
 	return &fuchsiaspoke.Refusal{
 		Code: fuchsiaspoke.CodeInvalidRequest, Message: message, Run: fuchsiaspoke.NotRun, Status: http.StatusBadRequest,
--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -342,8 +342,10 @@
 func (n *node) buildUpstream() {
 	n.granter = &granter.Granter{Held: n.holder.Held, Clock: n.timer.Now, Record: n.record, Account: n.account}
 	n.spender = &spender.Spender{
-		Self: n.settings.VM.ID, Local: n.granter, Caller: n.dialer, HolderOf: n.holderOf, Clock: n.timer.Now,
+		Self: n.settings.VM.ID, Local: n.granter, Caller: n.dialer, HolderOf: n.holderOf, Peers: n.peers, Clock: n.timer.Now,
 	}
+	n.granter.Collector = n.spender
+	n.granter.HandedOver = n.spender.HandOver
 	n.manager = &manager.Manager{
 		Upstreams: func() []fuchsiaspoke.Upstream { return n.relayer.Catalog().Upstreams() },
 		Held:      n.holder.Held,
@@ -366,6 +368,8 @@
 	n.acceptor.Handle(spender.ReserveMethod, n.granter.ServeReserve)
 	n.acceptor.Handle(spender.ConfirmMethod, n.granter.ServeConfirm)
 	n.acceptor.Handle(spender.UpdateMethod, n.granter.ServeUpdate)
+	n.acceptor.Handle(spender.UsesMethod, n.spender.ServeUses)
+	n.acceptor.Handle(spender.HandoverMethod, n.granter.ServeHandover)
 }
 
 // account returns a client account in force, or the budget of the weight store.
@@ -376,6 +380,17 @@
 	return n.relayer.Catalog().Account(name)
 }
 
+// peers are the other live VMs.
+func (n *node) peers() []fuchsiaspoke.VM {
+	var vms []fuchsiaspoke.VM
+	for _, peer := range n.gossiper.Live() {
+		if peer.VM.ID != n.settings.VM.ID {
+			vms = append(vms, peer.VM)
+		}
+	}
+	return vms
+}
+
 func (n *node) engines() []fuchsiaspoke.Upstream {
 	return n.upstreams(fuchsiaspoke.EngineUpstream)
 }
