--- a/contract/catalog/catalog_test.go
+++ b/contract/catalog/catalog_test.go
@@ -107,6 +107,15 @@
 	Digest    fuchsiaspoke.Digest
 }
 
+func (v view) upstream(id string) *fuchsiaspoke.Upstream {
+	for i := range v.Upstreams {
+		if v.Upstreams[i].ID == id {
+			return &v.Upstreams[i]
+		}
+	}
+	return nil
+}
+
 func look(c catalog.Catalog) view {
 	v := view{Upstreams: c.Upstreams(), VMs: c.VMList(), Documents: c.Documents(), Warnings: c.Warnings(), Digest: c.Digest()}
 	for i := range pool {
@@ -141,6 +150,11 @@
 					v.Accounts[i] = a
 				}
 			}
+			for _, u := range content.Upstreams {
+				if u.ID == id && v.upstream(id) == nil {
+					v.Upstreams = append(v.Upstreams, u)
+				}
+			}
 			for _, k := range content.Keys {
 				withdrawn[i] = withdrawn[i] || k.Hash == hash(i) && k.Withdrawn
 				if k.Hash == hash(i) && v.Keys[i].Hash == "" {
@@ -213,6 +227,9 @@
 		if !reflect.DeepEqual(before, look(c)) {
 			return c, "a snapshot changed"
 		}
+		if same := reflect.DeepEqual(c.Documents(), next.Documents()); same != (c.Digest() == next.Digest()) {
+			return c, fmt.Sprintf("digests %+v and %+v, same documents %v", c.Digest(), next.Digest(), same)
+		}
 		c = next
 	}
 	return c, ""
@@ -220,9 +237,15 @@
 
 func compareExpected(got, want view) string {
 	if !reflect.DeepEqual(got.Profiles, want.Profiles) || !reflect.DeepEqual(got.Accounts, want.Accounts) ||
-		!reflect.DeepEqual(got.Keys, want.Keys) || !reflect.DeepEqual(got.VMs, want.VMs) {
+		!reflect.DeepEqual(got.Keys, want.Keys) || !reflect.DeepEqual(got.VMs, want.VMs) ||
+		len(got.Upstreams) != len(want.Upstreams) {
 		return fmt.Sprintf("got %+v\nwant %+v", got, want)
 	}
+	for i, u := range got.Upstreams {
+		if u != *want.upstream(u.ID) || i > 0 && got.Upstreams[i-1].ID >= u.ID {
+			return fmt.Sprintf("got upstreams %+v\nwant %+v", got.Upstreams, want.Upstreams)
+		}
+	}
 	return ""
 }
 
@@ -242,6 +265,16 @@
 	}
 }
 
+func TestKeepsItsOwnBody(t *testing.T) {
+	doc := fuchsiaspoke.Document{Name: "keys", Revision: 4, Body: []byte(`{"kind":"keys","items":[]}`)}
+	c, _ := catalog.Catalog{}.With(doc)
+	want := string(doc.Body)
+	doc.Body[2] = 'x'
+	if got := string(c.Documents()[0].Body); got != want {
+		t.Errorf("body became %s", got)
+	}
+}
+
 func TestLookupsDoNotAllocate(t *testing.T) {
 	c := filled(t, 300, 3)
 	c, _ = c.With(published(1, slices.Index(names, "keys")*revisions))
