--- a/upstream/dispatcher/dispatcher.go
+++ b/upstream/dispatcher/dispatcher.go
@@ -30,6 +30,8 @@
 	claimTimeout = 2 * time.Second
 	// defaultPatience is the patience of a generation that names none.
 	defaultPatience = 30 * time.Second
+	// headroomPart is the part of the batch, one over it, that is kept from the account with the most running requests.
+	headroomPart = 5
 	// retryAfter is when a refused caller is told to come back.
 	retryAfter = time.Second
 )
@@ -175,7 +177,8 @@
 		d.slots.Slots = d.Upstream.Slots
 		d.slots.Violated = d.violate
 		d.queue.Violated = d.violate
-		d.queue.AccountRunning = accountRunning(d.Upstream.Batch)
+		d.queue.Batch = d.Upstream.Batch
+		d.queue.Headroom = d.Upstream.Batch / headroomPart
 		if d.Clock == nil {
 			started := time.Now()
 			d.Clock = func() time.Duration { return time.Since(started) }
@@ -413,11 +416,6 @@
 	}
 }
 
-// accountRunning leaves an eighth of the batch to other accounts, so that a short queue's head finds a place.
-func accountRunning(batch int) int {
-	return batch - batch/8
-}
-
 // jittered spreads a wait over half of it to the whole.
 func jittered(wait time.Duration) time.Duration {
 	return wait/2 + rand.N(wait/2+1)
--- a/upstream/queuer/line.go
+++ b/upstream/queuer/line.go
@@ -43,6 +43,12 @@
 	lines      []*line
 }
 
+// arrival is the time of an account's latest push.
+type arrival struct {
+	name string
+	at   time.Duration
+}
+
 // line returns the account's line for the adapter and makes it where there is none.
 func (q *Queuer) line(a *account, adapter fuchsiaspoke.Adapter) *line {
 	key := lineKey{a.name, adapter}
--- a/upstream/queuer/queuer.go
+++ b/upstream/queuer/queuer.go
@@ -21,6 +21,8 @@
 	// LagTokens is how far an account that waits for an adapter may fall behind the account that is served, and so
 	// how many weighted tokens it may take ahead of the others once its adapter is there.
 	LagTokens = 16384
+	// headroomMemory is how long after a second account's request places are kept free.
+	headroomMemory = 30 * time.Second
 	// scanAdapters is how many of an account's waiting adapters one choice looks at.
 	scanAdapters = 128
 )
@@ -43,8 +45,11 @@
 // runnable request is passed over by at most PassOverTokens, and an account whose adapters are not resident lags by
 // at most LagTokens. It is not safe for concurrent use.
 type Queuer struct {
-	// AccountRunning is the most requests of one account that run at once; zero sets no bound.
-	AccountRunning int
+	// Batch is the number of requests that the engine runs at once; zero sets no headroom.
+	Batch int
+	// Headroom is how many places of the batch the account with the most running requests may not take while other
+	// accounts come too, so that the head of another queue need not wait for that account's running work.
+	Headroom int
 	// Violated is told of each broken invariant; nil counts them only.
 	Violated func(detail string)
 
@@ -57,16 +62,24 @@
 	expiries   expiryHeap
 	passed     []*account
 	lastLeft   int64
-	tokens     int64
-	seq        int64
-	frontSeq   int64
-	freeEntry  *entry
-	freeLine   *line
+	running    int
+	// first and second are the latest pushes of two accounts.
+	first, second arrival
+	reserving     bool
+	// levels counts the accounts by their number of running requests, and most is the largest such number.
+	levels    []int
+	most      int
+	tokens    int64
+	seq       int64
+	frontSeq  int64
+	freeEntry *entry
+	freeLine  *line
 }
 
 // Push adds a generation and reports whether it was added; a request id that already waits is not.
 func (q *Queuer) Push(now time.Duration, g fuchsiaspoke.Generation) bool {
 	q.seq++
+	q.notePush(now, g.Account)
 	return q.insert(now, g, q.seq)
 }
 
@@ -83,18 +96,19 @@
 // Pop takes the next generation that may run, charges its prompt, and reports whether there was one.
 //
 // The function fits returns Blocked, Runnable or Preferred; it must depend on the generation's adapter alone.
-func (q *Queuer) Pop(_ time.Duration, fits func(fuchsiaspoke.Generation) int) (fuchsiaspoke.Generation, bool) {
+func (q *Queuer) Pop(now time.Duration, fits func(fuchsiaspoke.Generation) int) (fuchsiaspoke.Generation, bool) {
+	q.reserving = q.isHeadroom(now)
 	e, oldest := q.choose(fits)
 	if e == nil {
 		return fuchsiaspoke.Generation{}, false
 	}
 	a := e.line.account
 	q.countPassed(a, e, oldest)
-	q.liftLagging(a)
 	g := e.generation
-	a.running++
+	q.setRunning(a, a.running+1)
 	q.remove(e)
 	q.add(a, PromptWeight*g.PromptTokens)
+	q.liftLagging(a)
 	return g, true
 }
 
@@ -114,7 +128,7 @@
 		q.violate("finish without a running request of " + name)
 		return
 	}
-	a.running--
+	q.setRunning(a, a.running-1)
 }
 
 // Expire removes and returns the generations whose patience has run out.
@@ -226,7 +240,7 @@
 
 // scan returns the account's oldest runnable entry and its oldest preferred one.
 func (q *Queuer) scan(a *account, fits func(fuchsiaspoke.Generation) int) (first, preferred *entry) {
-	if q.AccountRunning > 0 && a.running >= q.AccountRunning {
+	if q.reserving && a.running == q.most {
 		return nil, nil
 	}
 	for _, l := range a.lines[:min(len(a.lines), scanAdapters)] {
@@ -242,6 +256,38 @@
 	return first, preferred
 }
 
+// isHeadroom reports whether the free places are headroom and a second account came lately.
+func (q *Queuer) isHeadroom(now time.Duration) bool {
+	return q.Headroom > 0 && q.running >= q.Batch-q.Headroom && q.second.name != "" && now-q.second.at <= headroomMemory
+}
+
+// notePush keeps the latest push of two accounts.
+func (q *Queuer) notePush(now time.Duration, name string) {
+	if q.first.name != name {
+		q.second = q.first
+	}
+	q.first = arrival{name, now}
+}
+
+// setRunning changes the account's number of running requests and the largest one of all accounts.
+func (q *Queuer) setRunning(a *account, n int) {
+	for len(q.levels) <= max(n, a.running) {
+		q.levels = append(q.levels, 0)
+	}
+	if a.running > 0 {
+		q.levels[a.running]--
+	}
+	q.running += n - a.running
+	a.running = n
+	if n > 0 {
+		q.levels[n]++
+	}
+	q.most = max(q.most, n)
+	for q.most > 0 && q.levels[q.most] == 0 {
+		q.most--
+	}
+}
+
 // countPassed adds the served entry to the account of each one passed over and asserts the bound.
 func (q *Queuer) countPassed(served *account, e, oldest *entry) {
 	for _, a := range q.passed {
@@ -270,7 +316,7 @@
 		}
 		a.counter = limit
 	}
-	if q.active[0].counter < limit {
+	if len(q.active) > 0 && q.active[0].counter < limit {
 		q.violate("account " + q.active[0].name + " lags beyond the bound")
 	}
 }
