--- a/upstream/driver/driver.go
+++ b/upstream/driver/driver.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +23,15 @@
 	idleConnsPerHost       = 64
 )
 
+// The engine's own codes that change what the driver does.
+const (
+	codeOldFence    = "old_fence"
+	codeLoadFailed  = "load_failed"
+	codeNoSlot      = "no_slot"
+	codeNotResident = "not_resident"
+	codeNotFound    = "request_not_found"
+)
+
 // Driver is the client of one engine; every error it returns wraps a *fuchsiaspoke.Refusal or the sink's own error.
 type Driver struct {
 	// Client sends the requests; nil stands for a client of the driver's own.
@@ -35,6 +43,9 @@
 	ProbeTimeout time.Duration
 	// OrderTimeout bounds loads and unloads; zero stands for 30 s.
 	OrderTimeout time.Duration
+	// Check is asked as the last step before a load, an unload or a generation is written; its error stops the
+	// request as not run. It is where the holder of the upstream's lease checks the lease; nil allows everything.
+	Check func() error
 
 	once   sync.Once
 	pooled *http.Client
@@ -70,18 +81,45 @@
 
 // Load orders an adapter into a slot and returns when it is resident.
 func (d *Driver) Load(ctx context.Context, adapter fuchsiaspoke.Adapter, fence int64) error {
-	ctx, cancel := context.WithTimeout(ctx, orDefault(d.OrderTimeout, defaultOrderTimeout))
-	defer cancel()
-	err := d.call(ctx, d.client(), "/v1/load_lora_adapter", order{adapter.Name, adapter.Version, fence}, nil)
+	err := d.order(ctx, "/v1/load_lora_adapter", order{adapter.Name, adapter.Version, fence})
 	return d.wrap(err, "load "+adapter.Name)
 }
 
-// Unload orders an adapter out of its slot.
+// Unload orders an adapter out of its slot; one that is in no slot is no error.
 func (d *Driver) Unload(ctx context.Context, adapter fuchsiaspoke.Adapter, fence int64) error {
+	err := d.order(ctx, "/v1/unload_lora_adapter", order{adapter.Name, adapter.Version, fence})
+	if hasCode(err, codeNotResident) {
+		return nil
+	}
+	return d.wrap(err, "unload "+adapter.Name)
+}
+
+// order sends an order, and sends it again on a fresh connection when no answer has come in ProgressTimeout; orders
+// are idempotent, and a load that is sent again joins the one under way.
+func (d *Driver) order(ctx context.Context, path string, o order) error {
 	ctx, cancel := context.WithTimeout(ctx, orDefault(d.OrderTimeout, defaultOrderTimeout))
 	defer cancel()
-	err := d.call(ctx, d.client(), "/v1/unload_lora_adapter", order{adapter.Name, adapter.Version, fence}, nil)
-	return d.wrap(err, "unload "+adapter.Name)
+	sent := false
+	for {
+		err := d.tryOrder(ctx, path, o)
+		refusal := new(fuchsiaspoke.Refusal)
+		if !errors.As(err, &refusal) {
+			return err
+		}
+		if sent {
+			refusal.Run = fuchsiaspoke.RunUnknown
+		}
+		if refusal.Code != fuchsiaspoke.CodeDeadline || ctx.Err() != nil {
+			return err
+		}
+		sent = sent || refusal.Run != fuchsiaspoke.NotRun
+	}
+}
+
+func (d *Driver) tryOrder(ctx context.Context, path string, o order) error {
+	ctx, cancel := context.WithTimeout(ctx, orDefault(d.ProgressTimeout, defaultProgressTimeout))
+	defer cancel()
+	return d.call(ctx, d.freshClient(), path, o, nil)
 }
 
 // Claim shows the engine a fencing number and returns its report, which lags like every report.
@@ -137,35 +175,73 @@
 	return nil
 }
 
-// send writes one request, made from its arguments alone, and sets sent once a connection may have carried any of it.
+// send writes one request, made from its arguments alone, and sets sent once a connection may have carried its body.
 func (d *Driver) send(
 	ctx context.Context, client *http.Client, path, requestID string, body any, sent *atomic.Bool,
 ) (*http.Response, error) {
-	method := http.MethodGet
-	var payload io.Reader
-	if body != nil {
-		encoded, err := json.Marshal(body)
-		if err != nil {
-			return nil, err
-		}
-		method = http.MethodPost
-		payload = bytes.NewReader(encoded)
-	}
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.Upstream.Address+path, payload)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Upstream.Address+path, nil)
 	if err != nil {
 		return nil, err
 	}
-	if payload != nil {
-		req.Header.Set("Content-Type", "application/json")
-	}
 	if requestID != "" {
 		req.Header.Set("X-Request-Id", requestID)
 	}
+	if body == nil {
+		return client.Do(req)
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req.Method = http.MethodPost
+	req.Header.Set("Content-Type", "application/json")
+	req.ContentLength = int64(len(encoded))
+	req.GetBody = func() (io.ReadCloser, error) {
+		return &checkedBody{Reader: bytes.NewReader(encoded), check: d.checkFor(body), sent: sent}, nil
+	}
+	req.Body, err = req.GetBody()
+	if err != nil {
+		return nil, err
+	}
 	return client.Do(req)
 }
 
+// checkFor is the check that a body needs; claims, resumes and cancels start no work and need none.
+func (d *Driver) checkFor(body any) func() error {
+	switch body.(type) {
+	case claim, reference:
+		return nil
+	default:
+		return d.Check
+	}
+}
+
+// checkedBody checks before each part of a body goes to the connection; no engine runs a request without its body.
+type checkedBody struct {
+	io.Reader
+	check func() error
+	sent  *atomic.Bool
+}
+
+func (b *checkedBody) Read(p []byte) (int, error) {
+	if b.check != nil {
+		if err := b.check(); err != nil {
+			return 0, checkError{err}
+		}
+	}
+	b.sent.Store(true)
+	return b.Reader.Read(p)
+}
+
+func (b *checkedBody) Close() error {
+	return nil
+}
+
+// checkError marks an error of Check.
+type checkError struct {
+	error
+}
+
 func (d *Driver) init() {
 	d.once.Do(func() {
 		d.pooled = d.Client
@@ -208,11 +284,13 @@
 	if sent {
 		run = fuchsiaspoke.RunUnknown
 	}
-	code := fuchsiaspoke.CodeUpstreamFailed
-	status := http.StatusBadGateway
+	code, status := fuchsiaspoke.CodeUpstreamFailed, http.StatusBadGateway
+	var unchecked checkError
+	if errors.As(err, &unchecked) {
+		code, status = fuchsiaspoke.CodeLeaseLost, http.StatusServiceUnavailable
+	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		code = fuchsiaspoke.CodeDeadline
-		status = http.StatusGatewayTimeout
+		code, status = fuchsiaspoke.CodeDeadline, http.StatusGatewayTimeout
 	}
 	return &fuchsiaspoke.Refusal{Code: code, Message: err.Error(), Run: run, Status: status}
 }
@@ -232,12 +310,27 @@
 		Run: said.Error.Run, Status: http.StatusBadGateway,
 	}
 	switch said.Error.Code {
-	case "old_fence":
+	case codeOldFence:
 		refusal.Code = fuchsiaspoke.CodeLeaseLost
-	case "load_failed", "no_slot", "not_resident":
+	case codeLoadFailed, codeNoSlot, codeNotResident:
 		refusal.Code = fuchsiaspoke.CodeAdapterLoadFailed
 	}
-	return refusal
+	return &engineError{Refusal: refusal, code: said.Error.Code}
+}
+
+// engineError is a refusal with the engine's own code for it.
+type engineError struct {
+	*fuchsiaspoke.Refusal
+	code string
+}
+
+func (e *engineError) Unwrap() error {
+	return e.Refusal
+}
+
+func hasCode(err error, code string) bool {
+	var said *engineError
+	return errors.As(err, &said) && said.code == code
 }
 
 func orDefault(d, standard time.Duration) time.Duration {
--- a/upstream/driver/stream.go
+++ b/upstream/driver/stream.go
@@ -102,8 +102,7 @@
 func (s *stream) resume(ctx context.Context) error {
 	body := reference{RequestID: s.generation.RequestID, FromIndex: s.next}
 	err := s.attempt(ctx, s.driver.freshClient(), "/v1/resume", body)
-	var refusal *fuchsiaspoke.Refusal
-	if s.next > 0 || !errors.As(err, &refusal) || !strings.Contains(refusal.Message, "request_not_found") {
+	if s.next > 0 || !hasCode(err, codeNotFound) {
 		return err
 	}
 	return s.start(ctx, s.driver.freshClient())
@@ -136,6 +135,10 @@
 	resp, err := s.driver.send(ctx, client, path, s.generation.RequestID, body, &sent)
 	if err != nil {
 		s.mayRun = s.mayRun || sent.Load()
+		var unchecked checkError
+		if errors.As(err, &unchecked) {
+			return transportRefusal(err, sent.Load())
+		}
 		return causeOf(ctx, err)
 	}
 	defer resp.Body.Close()
