Count the prompt in an answer's last chunk

Cause: a VM can only bound a prompt's tokens by its bytes; the engine's own count lets it return the rest. Ruled out: a usage event of its own after the last chunk, which a cut could lose. Change: prompt_tokens in the dialect's last chunk, Chunk.PromptTokens, the driver passes it on.

--- a/generation.go
+++ b/generation.go
@@ -42,6 +42,8 @@
 	// FinishReason is set on the last chunk alone.
 	FinishReason string  `cbor:"5,keyasint,omitempty"`
 	Adapter      Adapter `cbor:"6,keyasint"`
+	// PromptTokens is the engine's own count of the prompt; it may be zero until the last chunk.
+	PromptTokens int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // EngineReport is an engine's own account of its state, which may be late.
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -457,4 +457,5 @@
 	Tokens       int64                `json:"tokens"`
 	FinishReason string               `json:"finish_reason,omitempty"`
 	Adapter      fuchsiaspoke.Adapter `json:"adapter"`
+	PromptTokens int64                `json:"prompt_tokens,omitempty"`
 }
--- a/upstream/driver/stream.go
+++ b/upstream/driver/stream.go
@@ -274,4 +274,5 @@
 	Tokens       int64                `json:"tokens"`
 	FinishReason string               `json:"finish_reason"`
 	Adapter      fuchsiaspoke.Adapter `json:"adapter"`
+	PromptTokens int64                `json:"prompt_tokens,omitempty"`
 }
