--- /dev/null
+++ b/cmd/fuchsiaspoke/demo.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke/demo/demonstrator"
+	"github.com/integrii/flaggy"
+)
+
+type demoCommand struct{}
+
+func (*demoCommand) declare() *flaggy.Subcommand {
+	c := flaggy.NewSubcommand("demo")
+	c.Description = "show the whole path in one process: stand-ins, three VMs, a stream, a payment, a planned stop"
+	return c
+}
+
+func (*demoCommand) run(ctx context.Context) error {
+	d := demonstrator.Demonstrator{Out: os.Stdout}
+	return d.Run(ctx)
+}
--- a/contract/granter/granter.go
+++ b/contract/granter/granter.go
@@ -94,7 +94,7 @@
 	if !granted {
 		return fuchsiaspoke.TokenGrant{}, notHeld(ask.Account)
 	}
-	g.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventGranted, RequestID: ask.ID, Account: ask.Account, Tokens: ask.Tokens})
+	g.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventGranted, RequestID: requestOf(ask.ID), Account: ask.Account, Tokens: ask.Tokens})
 	return g.Confirm(fuchsiaspoke.TokenGrant{Account: ask.Account, ID: ask.ID, Tokens: ask.Tokens, Fence: b.fence})
 }
 
@@ -116,7 +116,7 @@
 	}
 	b.update(update)
 	if update.Finished {
-		g.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventReturned, RequestID: update.ID, Account: update.Account, Tokens: update.Consumed})
+		g.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventReturned, RequestID: requestOf(update.ID), Account: update.Account, Tokens: update.Consumed})
 	}
 }
 
@@ -293,3 +293,9 @@
 		Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable, RetryAfter: comeBack,
 	}
 }
+
+// requestOf returns the request's id, which begins the id of each of its reservations.
+func requestOf(id string) string {
+	request, _, _ := strings.Cut(id, "/")
+	return request
+}
--- a/proof/checks_test.go
+++ b/proof/checks_test.go
@@ -12,12 +12,18 @@
 func (f *fleet) issue(m *machine, account string) string {
 	f.t.Helper()
 	got := m.post("/v1/idempotency_keys", account, "")
+	key := issuedKey(got.body)
+	if key == "" {
+		f.t.Fatalf("%s issued no key: %d %s %v", m.vm.ID, got.status, got.body, got.err)
+	}
+	return key
+}
+
+func issuedKey(answer []byte) string {
 	var body struct {
 		IdempotencyKey string `json:"idempotency_key"`
 	}
-	if err := json.Unmarshal(got.body, &body); err != nil || body.IdempotencyKey == "" {
-		f.t.Fatalf("%s issued no key: %d %s %v", m.vm.ID, got.status, got.body, got.err)
-	}
+	_ = json.Unmarshal(answer, &body)
 	return body.IdempotencyKey
 }
 
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -64,7 +64,6 @@
 	world   *starter.Starter
 	vms     []*machine
 	links   *cutter
-	base    fuchsiaspoke.ClientAccount
 	profile []fuchsiaspoke.Profile
 }
 
@@ -179,7 +178,7 @@
 		"--vm-id", m.vm.ID, "--availability-zone", string(m.vm.Zone),
 		"--caller-address", m.vm.CallerAddress, "--link-address", m.vm.LinkAddress, "--link-listen", m.listen,
 		"--admin-address", m.admin, "--platform-url", "http://"+f.world.Address())
-	m.cmd.Env = append(os.Environ(), "FUCHSIASPOKE_FLEET_KEY="+fleetKey)
+	m.cmd.Env = append(os.Environ(), "FUCHSIASPOKE_FLEET_KEY="+fleetKey, "FUCHSIASPOKE_INVARIANTS=stop")
 	m.cmd.Stdout = m.log
 	m.cmd.Stderr = m.log
 	must(f.t, m.cmd.Start())
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -113,7 +113,6 @@
 		}
 		if n+1 >= r.limit {
 			chunk.FinishReason = "length"
-			chunk.PromptTokens = r.promptTokens
 		}
 		r.chunks = append(r.chunks, chunk)
 		if chunk.FinishReason != "" {
--- a/vm/admitter/admitter.go
+++ b/vm/admitter/admitter.go
@@ -52,6 +52,8 @@
 	Executor executor
 	// Record puts an event on the time line.
 	Record func(fuchsiaspoke.Event)
+	// Waited is told how long a generation waited for its first part; nil drops it.
+	Waited func(account string, wait time.Duration)
 
 	mu     sync.Mutex
 	active map[string]active
@@ -142,7 +144,11 @@
 func (a *Admitter) deliver(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
 	use := fuchsiaspoke.TokenUpdate{Account: g.Account, ID: g.Grant.ID, Fence: g.Grant.Fence}
 	prompt, output, reported := g.PromptTokens, int64(0), int64(0)
+	began := time.Now()
 	err := a.Router.Deliver(ctx, g, func(chunk fuchsiaspoke.Chunk) error {
+		if chunk.Index == 0 && a.Waited != nil {
+			a.Waited(g.Account, time.Since(began))
+		}
 		if chunk.PromptTokens > 0 {
 			prompt = chunk.PromptTokens
 		}
--- a/vm/router/router.go
+++ b/vm/router/router.go
@@ -79,7 +79,7 @@
 	r.Budget.Add()
 	deadline := r.Clock() + g.Patience
 	tried := make(map[string]bool)
-	var last error = noUpstream("no replica of model " + g.BaseModel + " is served at the moment")
+	last := noUpstream("no replica of model " + g.BaseModel + " is served at the moment")
 	for attempt := 0; attempt < maxAttempts; {
 		if g.Patience = deadline - r.Clock(); g.Patience <= 0 || ctx.Err() != nil {
 			return last
--- a/vm/runner/answers.go
+++ b/vm/runner/answers.go
@@ -55,17 +55,22 @@
 }
 
 func (n *node) observe(refusal *fuchsiaspoke.Refusal) {
+	n.meter.Refusal(refusal.Code, "")
+	if refusal.Run == fuchsiaspoke.RunUnknown {
+		n.meter.UnknownOutcome("")
+	}
 	klog.V(1).InfoS("Refused", "code", refusal.Code, "run", refusal.Run, "message", refusal.Message)
 }
 
 func (n *node) status() fuchsiaspoke.Status {
 	c := n.relayer.Catalog()
 	return fuchsiaspoke.Status{
-		Self:      n.state(),
-		Documents: c.Revisions(),
-		Refused:   c.Refused(),
-		Warnings:  c.Warnings(),
-		Peers:     n.gossiper.Live(),
-		Accounts:  n.granter.States(),
+		Self:       n.state(),
+		Documents:  c.Revisions(),
+		Refused:    c.Refused(),
+		Warnings:   c.Warnings(),
+		Peers:      n.gossiper.Live(),
+		Accounts:   n.granter.States(),
+		Violations: n.asserter.Violations("dispatcher"),
 	}
 }
--- a/vm/runner/lifecycle.go
+++ b/vm/runner/lifecycle.go
@@ -16,7 +16,7 @@
 	quietInterval = 50 * time.Millisecond
 )
 
-func (n *node) start(ctx context.Context) (*duties, error) {
+func (n *node) start(ctx context.Context) *duties {
 	d := newDuties()
 	d.start(ctx, "link", func(ctx context.Context) error { return n.acceptor.Serve(ctx, n.links) })
 	d.start(ctx, "relay", n.relayer.Run)
@@ -34,7 +34,7 @@
 		}
 		n.callersEnd <- err
 	})
-	return d, nil
+	return d
 }
 
 // balance hands over leases that another VM should hold, one at a time.
--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -16,9 +15,11 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/spender"
 	"github.com/fuchsiaspoke/fuchsiaspoke/idempotency/executor"
 	"github.com/fuchsiaspoke/fuchsiaspoke/idempotency/issuer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/invariant/asserter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/acceptor"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/keyring"
+	"github.com/fuchsiaspoke/fuchsiaspoke/metrics/meter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/platforms/poller"
 	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/recorder"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/balancer"
@@ -66,6 +67,8 @@
 	dialer   *dialer.Dialer
 	acceptor *acceptor.Acceptor
 	recorder *recorder.Recorder
+	asserter *asserter.Asserter
+	meter    *meter.Meter
 
 	relayer  *relayer.Relayer
 	gossiper *gossiper.Gossiper
@@ -98,6 +101,8 @@
 	}
 	n := &node{settings: r, incarnation: incarnation, callersEnd: make(chan error, 1)}
 	n.recorder = &recorder.Recorder{VM: r.VM.ID}
+	n.meter = &meter.Meter{}
+	n.asserter = &asserter.Asserter{Stop: r.Stop, Recorder: n.recorder, Meter: n.meter}
 	if err := n.listen(); err != nil {
 		n.close()
 		return nil, err
@@ -319,6 +324,7 @@
 	}
 	n.admitter = &admitter.Admitter{
 		Catalog: n.relayer.Catalog, Spender: n.spender, Router: n.router, Executor: n.forwarder, Record: n.record,
+		Waited: n.meter.Wait,
 	}
 	n.listener = &listener.Listener{
 		Admitter: n.admitter,
@@ -333,7 +339,7 @@
 		Observe:  n.observe,
 	}
 	n.reporter = &reporter.Reporter{
-		Status: n.status, Events: n.recorder.Events, Metrics: http.NotFoundHandler(), Ready: n.ready,
+		Status: n.status, Events: n.recorder.Events, Metrics: n.meter.Handler(), Ready: n.ready,
 	}
 	n.acceptor.Handle(forwarder.Method, n.forwarder.Serve)
 	return nil
@@ -353,7 +359,7 @@
 		Confirmer: n.spender,
 		Permits:   &permitter.Permitter{Spender: n.spender},
 		Recorder:  n.recorder,
-		Violated:  func(detail string) { klog.ErrorS(nil, "Invariant violated", "detail", detail) },
+		Violated:  func(detail string) { n.asserter.Assert(false, "dispatcher", detail) },
 		Clock:     n.timer.Now,
 	}
 	n.router = &router.Router{
--- a/vm/runner/runner.go
+++ b/vm/runner/runner.go
@@ -82,10 +82,7 @@
 	defer n.close()
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	duties, err := n.start(life)
-	if err != nil {
-		return err
-	}
+	duties := n.start(life)
 	klog.InfoS("Started", "vm", r.VM.ID, "availability_zone", r.VM.Zone, "incarnation", n.incarnation)
 	n.record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventStarted, Detail: "incarnation " + n.incarnation})
 	var failure error
