Test that each rule of the leases is needed, and how soon resources are held

Cause: a model run that never fails proves nothing; a lease nobody gets is safe but useless. Ruled out: one long schedule, which meets the rarer faults late.

--- a/zone/leaser/leaser_test.go
+++ b/zone/leaser/leaser_test.go
@@ -5,38 +5,122 @@
 	"math/rand"
 	"testing"
 	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
 )
 
 var (
 	seed      = flag.Int64("seed", 1, "first seed of the random schedules")
-	schedules = flag.Int("schedules", 60, "number of random schedules")
+	schedules = flag.Int64("schedules", 60, "number of random schedules")
 )
 
 // disturbed runs one random schedule of failures.
-func disturbed(seed int64, faults faults, lengths int) *world {
+func disturbed(seed int64, faults faults) *world {
 	rng := rand.New(rand.NewSource(seed))
-	w := newWorld(seed, 3+rng.Intn(1+rng.Intn(7)), 3+2*rng.Intn(2), faults)
+	w := newWorld(seed, 3+rng.Intn(1+rng.Intn(7)), 3+2*rng.Intn(2), faults, false)
 	w.loss = rng.Float64() * 0.2
 	w.slow = rng.Float64() * 0.3
 	w.bias = rng.Intn(4)
+	w.pace = length << rng.Intn(3)
 	w.at(3*length, w.disturb)
-	w.run(time.Duration(lengths) * length)
+	w.run(30 * length)
 	return w
 }
 
 func TestOneHolderUnderFailures(t *testing.T) {
 	var sum stats
-	for i := range int64(*schedules) {
-		w := disturbed(*seed+i, faults{}, 30)
+	for i := range *schedules {
+		w := disturbed(*seed+i, faults{})
 		if w.failure != "" {
 			t.Fatalf("seed %d: %s", *seed+i, w.failure)
 		}
-		sum.acquired += w.stats.acquired
-		sum.handed += w.stats.handed
-		sum.restarts += w.stats.restarts
-		sum.lists += w.stats.lists
-		sum.pauses += w.stats.pauses
-		sum.seals += w.stats.seals
+		sum.add(w.stats)
 	}
 	t.Logf("%+v", sum)
+	if least := int(*schedules); sum.handed < least || sum.restarts < least || sum.lists < least || sum.seals < least {
+		t.Errorf("the schedules are too idle: %+v", sum)
+	}
+}
+
+// TestEachRuleIsNeeded switches off one rule at a time; schedules that pass with it must fail without.
+func TestEachRuleIsNeeded(t *testing.T) {
+	const tries = 400
+	tests := []struct {
+		name   string
+		faults faults
+		// from is a schedule near one that shows the fault.
+		from int64
+	}{
+		{"skip chain check", faults{skipChainCheck: true}, 22},
+		{"count from answer", faults{countFromAnswer: true}, 105},
+		{"grant after restart", faults{grantAfterRestart: true}, 31},
+		{"grant without learning", faults{skipLearning: true}, 145},
+		{"seal at once", faults{sealAtOnce: true}, 37},
+		{"ignore old councils", faults{ignoreOldCouncils: true}, 51},
+		{"use fence at once", faults{skipFenceRound: true}, 1},
+		{"promise too short", faults{shortPromise: true}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			for i := range int64(tries) {
+				if disturbed(tt.from+i, tt.faults).failure == "" {
+					continue
+				}
+				if w := disturbed(tt.from+i, faults{}); w.failure != "" {
+					t.Fatalf("seed %d fails with the rule, too: %s", tt.from+i, w.failure)
+				}
+				return
+			}
+			t.Errorf("no schedule from %d on shows the fault", tt.from)
+		})
+	}
+}
+
+func TestHeldSoon(t *testing.T) {
+	for i := range *schedules / 3 {
+		w := newWorld(*seed+i, 3+int(i%7), 5, faults{}, true)
+		w.run(2*length + time.Second)
+		held := w.holders()
+		if len(held) != len(w.resources) {
+			t.Fatalf("seed %d: held after a cold start: %v", *seed+i, held)
+		}
+		dead := held[w.resources[0]]
+		w.vms[dead].alive = false
+		w.run(w.now + length + time.Second)
+		for _, resource := range w.resources {
+			if holder := w.holders()[resource]; holder == "" || holder == dead {
+				t.Errorf("seed %d: %s is held by %q after %s died", *seed+i, resource, holder, dead)
+			}
+		}
+		if w.failure != "" {
+			t.Fatalf("seed %d: %s", *seed+i, w.failure)
+		}
+	}
+}
+
+// TestAbandon replaces a majority of the council at once, which only silence for long enough can make up for.
+func TestAbandon(t *testing.T) {
+	const silence = 3 * length
+	for _, abandon := range []time.Duration{0, silence} {
+		w := newWorld(*seed, 5, 5, faults{}, true)
+		w.abandon = abandon
+		for _, p := range w.vms {
+			p.leaser.Abandon = abandon
+		}
+		w.run(2*length + time.Second)
+		vms := append([]fuchsiaspoke.VM{}, w.lists[0].VMs...)
+		for i := range 3 {
+			w.vms[vms[i].ID].alive = false
+			vms[i] = w.newVM()
+		}
+		w.lists = append(w.lists, fuchsiaspoke.VMList{Revision: 2, VMs: vms})
+		for i := range 3 {
+			w.start(vms[i].ID)
+		}
+		w.run(w.now + silence + 5*length)
+		if held := len(w.holders()); (held == len(w.resources)) != (abandon > 0) || w.failure != "" {
+			t.Errorf("abandon after %v: %d held %s", abandon, held, w.failure)
+		}
+	}
 }
--- a/zone/leaser/world_test.go
+++ b/zone/leaser/world_test.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	length    = 5 * time.Second
-	tickEvery = length / 8
+	length   = 5 * time.Second
+	slowTick = length / 8
+	fastTick = length / 50
 	// keptLists is how far the platform's answers may lie back.
 	keptLists = 3
 )
@@ -35,7 +36,9 @@
 	slow    float64
 	calm    bool
 	// bias is the kind of failure that comes most.
-	bias      int
+	bias int
+	// pace is the longest time between failures.
+	pace      time.Duration
 	cut       map[[2]string]bool
 	resources []string
 	last      map[string]acquired
@@ -93,9 +96,9 @@
 	return last
 }
 
-func newWorld(seed int64, vms, size int, faults faults) *world {
+func newWorld(seed int64, vms, size int, faults faults, calm bool) *world {
 	w := &world{
-		rng: rand.New(rand.NewSource(seed)), vms: map[string]*process{}, size: size, faults: faults,
+		rng: rand.New(rand.NewSource(seed)), vms: map[string]*process{}, size: size, faults: faults, calm: calm,
 		cut: map[[2]string]bool{}, resources: []string{"replica", "budget"}, last: map[string]acquired{},
 	}
 	var members []fuchsiaspoke.VM
@@ -197,7 +200,11 @@
 		}
 	})
 	if p.alive && p.leaser == l {
-		w.at(w.now+tickEvery/2+time.Duration(w.rng.Int63n(int64(tickEvery))), func() { w.tick(p, l) })
+		every := slowTick
+		if w.calm {
+			every = fastTick
+		}
+		w.at(w.now+every/2+time.Duration(w.rng.Int63n(int64(every))), func() { w.tick(p, l) })
 	}
 }
 
@@ -286,6 +293,20 @@
 	}
 }
 
+// holders returns the holder of each held resource.
+func (w *world) holders() map[string]string {
+	holders := map[string]string{}
+	for _, id := range w.order {
+		p := w.vms[id]
+		for _, resource := range w.resources {
+			if _, held := p.leaser.Held(p.local(w.now), resource); held && p.alive {
+				holders[resource] = id
+			}
+		}
+	}
+	return holders
+}
+
 func (w *world) checkPair(p, other *process, resource string) {
 	if p == other || !other.alive {
 		return
@@ -343,7 +364,7 @@
 	case 3:
 		w.publish()
 	}
-	w.at(w.now+time.Duration(w.rng.Int63n(int64(length))), w.disturb)
+	w.at(w.now+time.Duration(w.rng.Int63n(int64(w.pace))), w.disturb)
 }
 
 // partition cuts links in one direction or both, at random or between two sides.
@@ -353,7 +374,8 @@
 	for _, id := range w.order {
 		side[id] = w.rng.Intn(2) == 0
 	}
-	kind := w.rng.Intn(3)
+	kind := w.rng.Intn(4)
+	lone := w.order[w.rng.Intn(len(w.order))]
 	for _, a := range w.order {
 		for _, b := range w.order {
 			if a == b {
@@ -366,6 +388,8 @@
 				w.cut[[2]string{a, b}] = side[a] && !side[b]
 			case 2:
 				w.cut[[2]string{a, b}] = w.rng.Intn(4) == 0
+			case 3:
+				w.cut[[2]string{a, b}] = a == lone || b == lone
 			}
 		}
 	}
@@ -460,3 +484,12 @@
 		}
 	}
 }
+
+func (s *stats) add(other stats) {
+	s.acquired += other.acquired
+	s.handed += other.handed
+	s.restarts += other.restarts
+	s.lists += other.lists
+	s.pauses += other.pauses
+	s.seals += other.seals
+}
