--- a/zone/leaser/world_test.go
+++ b/zone/leaser/world_test.go
@@ -12,28 +12,33 @@
 )
 
 const (
-	length    = 5 * time.Second
-	tickEvery = length / 8
+	length   = 5 * time.Second
+	slowTick = length / 8
+	fastTick = length / 50
 	// keptLists is how far the platform's answers may lie back.
 	keptLists = 3
 )
 
 // world runs leasers on virtual true time, and asserts that no resource has two holders and that fences rise.
 type world struct {
-	rng       *rand.Rand
-	now       time.Duration
-	seq       int
-	queue     events
-	vms       map[string]*process
-	order     []string
-	lists     []fuchsiaspoke.VMList
-	made      int
-	size      int
-	faults    faults
-	abandon   time.Duration
-	loss      float64
-	slow      float64
-	calm      bool
+	rng     *rand.Rand
+	now     time.Duration
+	seq     int
+	queue   events
+	vms     map[string]*process
+	order   []string
+	lists   []fuchsiaspoke.VMList
+	made    int
+	size    int
+	faults  faults
+	abandon time.Duration
+	loss    float64
+	slow    float64
+	calm    bool
+	// bias is the kind of failure that comes most.
+	bias int
+	// pace is the longest time between failures.
+	pace      time.Duration
 	cut       map[[2]string]bool
 	resources []string
 	last      map[string]acquired
@@ -91,9 +96,9 @@
 	return last
 }
 
-func newWorld(seed int64, vms, size int, faults faults) *world {
+func newWorld(seed int64, vms, size int, faults faults, calm bool) *world {
 	w := &world{
-		rng: rand.New(rand.NewSource(seed)), vms: map[string]*process{}, size: size, faults: faults,
+		rng: rand.New(rand.NewSource(seed)), vms: map[string]*process{}, size: size, faults: faults, calm: calm,
 		cut: map[[2]string]bool{}, resources: []string{"replica", "budget"}, last: map[string]acquired{},
 	}
 	var members []fuchsiaspoke.VM
@@ -190,12 +195,28 @@
 		if l.floor > before {
 			w.stats.seals++
 		}
-		if !w.calm && w.rng.Intn(100) == 0 {
-			w.send(p, l.Release(now, p.wants))
+		if !w.calm {
+			w.change(p, now)
 		}
 	})
 	if p.alive && p.leaser == l {
-		w.at(w.now+tickEvery/2+time.Duration(w.rng.Int63n(int64(tickEvery))), func() { w.tick(p, l) })
+		every := slowTick
+		if w.calm {
+			every = fastTick
+		}
+		w.at(w.now+every/2+time.Duration(w.rng.Int63n(int64(every))), func() { w.tick(p, l) })
+	}
+}
+
+// change now and then releases leases, or lets them lapse for a while.
+func (w *world) change(p *process, now time.Duration) {
+	switch w.rng.Intn(100) {
+	case 0:
+		w.send(p, p.leaser.Release(now, p.wants))
+	case 1, 2, 3, 4, 5:
+		p.wants = nil
+	case 6, 7, 8:
+		p.wants = w.resources
 	}
 }
 
@@ -209,8 +230,12 @@
 		}
 		l.Adopt(now, w.lists[pick])
 	})
+	next := time.Duration(w.rng.Int63n(int64(2 * length)))
+	if !w.calm && w.rng.Intn(3) == 0 {
+		next *= 6
+	}
 	if p.alive && p.leaser == l {
-		w.at(w.now+time.Duration(w.rng.Int63n(int64(2*length))), func() { w.poll(p, l) })
+		w.at(w.now+next, func() { w.poll(p, l) })
 	}
 }
 
@@ -268,6 +293,20 @@
 	}
 }
 
+// holders returns the holder of each held resource.
+func (w *world) holders() map[string]string {
+	holders := map[string]string{}
+	for _, id := range w.order {
+		p := w.vms[id]
+		for _, resource := range w.resources {
+			if _, held := p.leaser.Held(p.local(w.now), resource); held && p.alive {
+				holders[resource] = id
+			}
+		}
+	}
+	return holders
+}
+
 func (w *world) checkPair(p, other *process, resource string) {
 	if p == other || !other.alive {
 		return
@@ -311,22 +350,21 @@
 
 // disturb brings in a random failure now and then.
 func (w *world) disturb() {
-	switch w.rng.Intn(9) {
-	case 0, 1:
+	kind := w.rng.Intn(4)
+	if w.rng.Intn(2) == 0 {
+		kind = w.bias
+	}
+	switch kind {
+	case 0:
 		w.partition()
-	case 2, 3:
+	case 1:
 		clear(w.cut)
-	case 4, 5:
+	case 2:
 		w.restart(w.order[w.rng.Intn(len(w.order))])
-	case 6, 7:
+	case 3:
 		w.publish()
-	case 8:
-		p := w.vms[w.order[w.rng.Intn(len(w.order))]]
-		if !p.listed && w.rng.Intn(2) == 0 {
-			p.alive = false
-		}
 	}
-	w.at(w.now+time.Duration(w.rng.Int63n(int64(2*length))), w.disturb)
+	w.at(w.now+time.Duration(w.rng.Int63n(int64(w.pace))), w.disturb)
 }
 
 // partition cuts links in one direction or both, at random or between two sides.
@@ -336,7 +374,8 @@
 	for _, id := range w.order {
 		side[id] = w.rng.Intn(2) == 0
 	}
-	kind := w.rng.Intn(3)
+	kind := w.rng.Intn(4)
+	lone := w.order[w.rng.Intn(len(w.order))]
 	for _, a := range w.order {
 		for _, b := range w.order {
 			if a == b {
@@ -349,6 +388,8 @@
 				w.cut[[2]string{a, b}] = side[a] && !side[b]
 			case 2:
 				w.cut[[2]string{a, b}] = w.rng.Intn(4) == 0
+			case 3:
+				w.cut[[2]string{a, b}] = a == lone || b == lone
 			}
 		}
 	}
@@ -435,7 +476,20 @@
 			w.start(vm.ID)
 		}
 	}
-	for _, p := range w.vms {
-		p.listed = listed[p.id]
+	for _, id := range w.order {
+		p := w.vms[id]
+		if p.listed && !listed[id] {
+			p.listed = false
+			w.at(w.now+time.Duration(w.rng.Int63n(int64(8*length))), func() { p.alive = false })
+		}
 	}
 }
+
+func (s *stats) add(other stats) {
+	s.acquired += other.acquired
+	s.handed += other.handed
+	s.restarts += other.restarts
+	s.lists += other.lists
+	s.pauses += other.pauses
+	s.seals += other.seals
+}
