--- a/proof/payment_test.go
+++ b/proof/payment_test.go
@@ -112,7 +112,11 @@
 	until := time.Now().Add(length)
 	for time.Now().Before(until) {
 		m := f.vms[random.Intn(len(f.vms))]
-		switch random.Intn(5) {
+		kinds := 5
+		if len(f.world.Services) == 0 {
+			kinds = 4
+		}
+		switch random.Intn(kinds) {
 		case 0:
 			f.signal(m, syscall.SIGKILL)
 			<-m.exited
