--- a/demo/demonstrator/demonstrator.go
+++ b/demo/demonstrator/demonstrator.go
@@ -58,6 +58,12 @@
 	ended  chan error
 }
 
+// outcome is what the demonstration tells of an answer.
+type outcome struct {
+	status   int
+	replayed string
+}
+
 // Run demonstrates the path and returns the first thing that did not hold.
 func (d *Demonstrator) Run(ctx context.Context) error {
 	if d.Out == nil {
@@ -210,11 +216,11 @@
 		return errors.Wrap(err, "ask for an idempotency key")
 	}
 	for _, m := range d.vms {
-		resp, err := d.post(ctx, m, "/v1/services/seat_fees/fees", `{"seat":7}`, issued.IdempotencyKey, nil)
+		paid, err := d.post(ctx, m, "/v1/services/seat_fees/fees", `{"seat":7}`, issued.IdempotencyKey, nil)
 		if err != nil {
 			return errors.Wrap(err, "pay a seat fee")
 		}
-		d.say("Paid a seat fee through %s: status %d, recorded answer: %q", m.runner.VM.ID, resp.StatusCode, resp.Header.Get("Idempotent-Replayed"))
+		d.say("Paid a seat fee through %s: status %d, recorded answer: %q", m.runner.VM.ID, paid.status, paid.replayed)
 	}
 	runs := len(d.world.Services[0].Records())
 	if runs != 1 {
@@ -318,10 +324,10 @@
 	return "", errors.New("the answer was cut")
 }
 
-func (d *Demonstrator) post(ctx context.Context, m *vm, path, body, idempotencyKey string, value any) (*http.Response, error) {
+func (d *Demonstrator) post(ctx context.Context, m *vm, path, body, idempotencyKey string, value any) (outcome, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.runner.VM.CallerAddress+path, strings.NewReader(body))
 	if err != nil {
-		return nil, err
+		return outcome{}, err
 	}
 	r.Header.Set("Authorization", "Bearer "+d.key)
 	if idempotencyKey != "" {
@@ -339,23 +345,24 @@
 	return err
 }
 
-func (d *Demonstrator) do(r *http.Request, value any) (*http.Response, error) {
+func (d *Demonstrator) do(r *http.Request, value any) (outcome, error) {
 	resp, err := d.client.Do(r)
 	if err != nil {
-		return nil, err
+		return outcome{}, err
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return nil, err
+		return outcome{}, err
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return nil, errors.Errorf("%s: %s", resp.Status, text)
+		return outcome{}, errors.Errorf("%s: %s", resp.Status, text)
 	}
+	done := outcome{status: resp.StatusCode, replayed: resp.Header.Get("Idempotent-Replayed")}
 	if value == nil {
-		return resp, nil
+		return done, nil
 	}
-	return resp, json.Unmarshal(text, value)
+	return done, json.Unmarshal(text, value)
 }
 
 func (d *Demonstrator) say(format string, values ...any) {
--- a/link/dialer/dialer_test.go
+++ b/link/dialer/dialer_test.go
@@ -17,13 +17,13 @@
 	"github.com/quic-go/quic-go"
 )
 
-func start(t *testing.T, fleetKey, id string) (fuchsiaspoke.VM, context.CancelFunc) {
+func start(t *testing.T, fleetKey string) (fuchsiaspoke.VM, context.CancelFunc) {
 	t.Helper()
 	ring, err := keyring.New(fleetKey)
 	if err != nil {
 		t.Fatal(err)
 	}
-	config, err := ring.TLS(id, "one")
+	config, err := ring.TLS("vm_1", "one")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,8 +47,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- a.Serve(ctx, &quic.Transport{Conn: conn}) }()
-	t.Cleanup(func() { cancel(); <-done; conn.Close() })
-	return fuchsiaspoke.VM{ID: id, LinkAddress: conn.LocalAddr().String()}, cancel
+	t.Cleanup(func() { cancel(); _ = <-done; conn.Close() })
+	return fuchsiaspoke.VM{ID: "vm_1", LinkAddress: conn.LocalAddr().String()}, cancel
 }
 
 func newDialer(t *testing.T, fleetKey string) *dialer.Dialer {
@@ -68,7 +68,7 @@
 
 func TestCallStreamsAndRefuses(t *testing.T) {
 	key := strings.Repeat("ab", 32)
-	vm, _ := start(t, key, "vm_1")
+	vm, _ := start(t, key)
 	d := newDialer(t, key)
 	sum := 0
 	err := d.Call(t.Context(), vm, "count", 5, func(body cbor.RawMessage) error {
@@ -87,7 +87,7 @@
 }
 
 func TestPeerWithoutFleetKeyGetsNowhere(t *testing.T) {
-	vm, _ := start(t, strings.Repeat("ab", 32), "vm_1")
+	vm, _ := start(t, strings.Repeat("ab", 32))
 	d := newDialer(t, strings.Repeat("cd", 32))
 	err := d.Call(t.Context(), vm, "count", 1, nil)
 	if !errors.Is(err, dialer.ErrNotSent) {
@@ -97,7 +97,7 @@
 
 func TestAddressOfAnotherVMIsRefused(t *testing.T) {
 	key := strings.Repeat("ab", 32)
-	vm, _ := start(t, key, "vm_1")
+	vm, _ := start(t, key)
 	vm.ID = "vm_2"
 	err := newDialer(t, key).Call(t.Context(), vm, "count", 1, nil)
 	if !errors.Is(err, dialer.ErrNotSent) {
@@ -107,7 +107,7 @@
 
 func TestLostPeerEndsCall(t *testing.T) {
 	key := strings.Repeat("ab", 32)
-	vm, cancel := start(t, key, "vm_1")
+	vm, cancel := start(t, key)
 	d := newDialer(t, key)
 	_ = d.Call(t.Context(), vm, "count", 1, nil)
 	cancel()
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -191,7 +191,7 @@
 		_ = m.cmd.Process.Signal(syscall.SIGCONT)
 		_ = m.cmd.Process.Kill()
 		select {
-		case <-m.exited:
+		case _ = <-m.exited:
 		case <-time.After(5 * time.Second):
 		}
 		if strings.Contains(m.log.String(), "DATA RACE") || strings.Contains(m.log.String(), "panic:") || f.t.Failed() {
@@ -281,11 +281,11 @@
 var client = &http.Client{Timeout: 60 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 func (m *machine) post(path, account, body string, header ...string) answer {
-	return m.do(client, http.MethodPost, path, account, body, header...)
+	return m.postBy(client, path, account, body, header...)
 }
 
-func (m *machine) do(client *http.Client, method, path, account, body string, header ...string) answer {
-	r, err := http.NewRequest(method, "http://"+m.vm.CallerAddress+path, strings.NewReader(body))
+func (m *machine) postBy(client *http.Client, path, account, body string, header ...string) answer {
+	r, err := http.NewRequest(http.MethodPost, "http://"+m.vm.CallerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
--- a/proof/payment_test.go
+++ b/proof/payment_test.go
@@ -61,7 +61,7 @@
 			key = tryIssue(m)
 			continue
 		}
-		got := m.do(shortClient, http.MethodPost, "/v1/services/booking/fees", "newcomers", body, "Idempotency-Key", key)
+		got := m.postBy(shortClient, "/v1/services/booking/fees", "newcomers", body, "Idempotency-Key", key)
 		_, run := got.refusal()
 		p.statuses = append(p.statuses, got.status)
 		p.runs = append(p.runs, run)
@@ -119,7 +119,7 @@
 		switch random.Intn(kinds) {
 		case 0:
 			f.signal(m, syscall.SIGKILL)
-			<-m.exited
+			_ = <-m.exited
 			time.Sleep(between(random, 100, 900))
 			f.start(m)
 		case 1:
@@ -149,7 +149,7 @@
 var shortClient = &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 func tryIssue(m *machine) string {
-	got := m.do(shortClient, http.MethodPost, "/v1/idempotency_keys", "newcomers", "")
+	got := m.postBy(shortClient, "/v1/idempotency_keys", "newcomers", "")
 	if got.status != http.StatusOK {
 		time.Sleep(50 * time.Millisecond)
 		return ""
--- a/proof/rate_test.go
+++ b/proof/rate_test.go
@@ -60,11 +60,11 @@
 				default:
 				}
 				m := f.vms[random.Intn(len(f.vms))]
-				got := m.do(shortClient, http.MethodPost, "/v1/completions", account, completion(fmt.Sprintf("guide_%d", random.Intn(6)), tokens))
-				switch {
-				case got.status == http.StatusOK:
+				got := m.postBy(shortClient, "/v1/completions", account, completion(fmt.Sprintf("guide_%d", random.Intn(6)), tokens))
+				switch got.status {
+				case http.StatusOK:
 					answered.Add(1)
-				case got.status == http.StatusTooManyRequests:
+				case http.StatusTooManyRequests:
 					refused.Add(1)
 					time.Sleep(50 * time.Millisecond)
 				default:
--- a/vm/reporter/reporter.go
+++ b/vm/reporter/reporter.go
@@ -46,7 +46,7 @@
 	if err := server.Shutdown(ending); err != nil {
 		_ = server.Close()
 	}
-	<-done
+	_ = <-done
 	return ctx.Err()
 }
 
