--- a/contract/catalog/bench_test.go
+++ b/contract/catalog/bench_test.go
@@ -1,9 +1,11 @@
 package catalog_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -60,20 +62,26 @@
 	}
 }
 
-// BenchmarkWith publishes one shard anew: same names, other versions.
+// BenchmarkWith publishes one shard anew: with other versions, or without its first profile, so that all places move.
 func BenchmarkWith(b *testing.B) {
 	for _, size := range sizes {
 		c := filled(b, size.profiles, size.shards)
-		doc := shardBody(b, size.shards-1, size.profiles/size.shards, 2)
-		b.Run(fmt.Sprint(size.profiles), func(b *testing.B) {
-			b.ReportAllocs()
-			b.SetBytes(int64(len(doc.Body)))
-			for b.Loop() {
-				if _, err := c.With(doc); err != nil {
-					b.Fatal(err)
+		versions := shardBody(b, size.shards-1, size.profiles/size.shards, 2)
+		moved := versions
+		head, tail, _ := bytes.Cut(versions.Body, []byte("[{"))
+		_, tail, _ = bytes.Cut(tail, []byte("},{"))
+		moved.Body = slices.Concat(head, []byte("[{"), tail)
+		for name, doc := range map[string]fuchsiaspoke.Document{"versions": versions, "moved": moved} {
+			b.Run(fmt.Sprint(name, "/", size.profiles), func(b *testing.B) {
+				b.ReportAllocs()
+				b.SetBytes(int64(len(doc.Body)))
+				for b.Loop() {
+					if _, err := c.With(doc); err != nil {
+						b.Fatal(err)
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
 
--- a/contract/catalog/catalog.go
+++ b/contract/catalog/catalog.go
@@ -2,8 +2,8 @@
 package catalog
 
 import (
-	"bytes"
 	"cmp"
+	"iter"
 	"reflect"
 	"slices"
 	"strconv"
@@ -47,13 +47,12 @@
 		errors.As(err, &faults)
 		return c.withRefused(doc, faults), err
 	}
-	doc.Body = bytes.Clone(doc.Body)
 	return c.withShard(old, newShard(doc, content)), nil
 }
 
 // withEqual tells operators when the platform gave two contents to one name and revision; the first one stays.
 func (c Catalog) withEqual(old *shard, doc fuchsiaspoke.Document) (Catalog, error) {
-	if bytes.Equal(old.doc.Body, doc.Body) {
+	if old.sameBody(doc.Body) {
 		return c, nil
 	}
 	content, err := parser.Parser{}.Parse(doc)
@@ -152,13 +151,21 @@
 	return 0
 }
 
-// Documents returns the documents in force in the order of their names; the bodies are shared.
+// Documents returns the documents in force in the order of their names, for a peer that has none.
 func (c Catalog) Documents() []fuchsiaspoke.Document {
-	docs := make([]fuchsiaspoke.Document, len(c.held))
-	for i, s := range c.held {
-		docs[i] = s.doc
+	return slices.Collect(c.Newer(nil))
+}
+
+// Newer yields the documents in force whose revision is above the one that a peer has, in the order of their names.
+// Bodies are kept compressed, and each is unpacked only when it is its turn.
+func (c Catalog) Newer(have map[string]int64) iter.Seq[fuchsiaspoke.Document] {
+	return func(yield func(fuchsiaspoke.Document) bool) {
+		for _, s := range c.held {
+			if s.doc.Revision > have[s.doc.Name] && !yield(s.document()) {
+				return
+			}
+		}
 	}
-	return docs
 }
 
 func (c Catalog) shard(name string) *shard {
--- a/contract/catalog/catalog_test.go
+++ b/contract/catalog/catalog_test.go
@@ -265,13 +265,29 @@
 	}
 }
 
-func TestKeepsItsOwnBody(t *testing.T) {
-	doc := fuchsiaspoke.Document{Name: "keys", Revision: 4, Body: []byte(`{"kind":"keys","items":[]}`)}
-	c, _ := catalog.Catalog{}.With(doc)
-	want := string(doc.Body)
-	doc.Body[2] = 'x'
-	if got := string(c.Documents()[0].Body); got != want {
-		t.Errorf("body became %s", got)
+// TestBodiesComeBackAsTheyWere covers small bodies, which are kept as they are, and large ones, which are compressed.
+func TestBodiesComeBackAsTheyWere(t *testing.T) {
+	var c catalog.Catalog
+	want := map[string]string{}
+	for shard, profiles := range []int{0, 3, 23, 24, 25, 4000} {
+		doc := shardBody(t, shard, profiles, int64(shard+1))
+		want[doc.Name] = string(doc.Body)
+		next, err := c.With(doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c = next
+		doc.Body[2] = 'x'
+		c.Documents()[0].Body[2] = 'x'
+	}
+	for _, doc := range c.Documents() {
+		if string(doc.Body) != want[doc.Name] {
+			t.Errorf("%s: the body of %d bytes came back changed", doc.Name, len(want[doc.Name]))
+		}
+	}
+	newer := slices.Collect(c.Newer(map[string]int64{"profiles_00": 1, "profiles_01": 1, "profiles_02": 9}))
+	if len(newer) != 4 || newer[0].Name != "profiles_01" {
+		t.Errorf("%d documents are newer", len(newer))
 	}
 }
 
--- a/contract/catalog/index.go
+++ b/contract/catalog/index.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,25 +18,28 @@
 	buckets [][]slot
 }
 
-// slot ties the hash of a name to a position in the index's shards; without pointers, so that the collector skips it.
+// slot ties the hash of a name to its place; it has no pointers, so that the collector skips it.
 type slot struct {
-	hash  uint64
+	hash uint64
+	// shard is a position in the index's shards.
 	shard uint32
+	// at is a position in the shard.
+	at uint32
 }
 
+// find returns the name's place in the shard with the lowest document name, or nil.
 func (x index) find(name string) (*shard, int) {
 	hash := xxhash.Sum64String(name)
 	bucket, i := x.first(hash)
 	var best *shard
-	var position int32
+	var position int
 	for ; i < len(bucket) && bucket[i].hash == hash; i++ {
-		s := x.shards[bucket[i].shard]
-		at, ok := s.at[name]
-		if ok && (best == nil || s.doc.Name < best.doc.Name) {
+		s, at := x.shards[bucket[i].shard], int(bucket[i].at)
+		if s.name(at) == name && (best == nil || s.doc.Name < best.doc.Name) {
 			best, position = s, at
 		}
 	}
-	return best, int(position)
+	return best, position
 }
 
 // any reports whether the name fits in any of the shards that hold it.
@@ -43,14 +47,15 @@
 	hash := xxhash.Sum64String(name)
 	bucket, i := x.first(hash)
 	for ; i < len(bucket) && bucket[i].hash == hash; i++ {
-		s := x.shards[bucket[i].shard]
-		if at, ok := s.at[name]; ok && fits(s, int(at)) {
+		s, at := x.shards[bucket[i].shard], int(bucket[i].at)
+		if s.name(at) == name && fits(s, at) {
 			return true
 		}
 	}
 	return false
 }
 
+// first returns the hash's bucket and the position of the first slot that is not below the hash.
 func (x index) first(hash uint64) ([]slot, int) {
 	if x.buckets == nil {
 		return nil, 0
@@ -71,34 +76,17 @@
 // with replaces a shard by its next revision, or adds one where old is nil.
 func (x index) with(old, next *shard) index {
 	number := slices.Index(x.shards, old)
+	x.shards = slices.Clone(x.shards)
 	if old == nil {
 		number = len(x.shards)
+		x.shards = append(x.shards, nil)
 	}
-	x.shards = append(slices.Clone(x.shards[:number]), append([]*shard{next}, x.shards[min(number+1, len(x.shards)):]...)...)
-	var gone map[string]int32
-	if old != nil {
-		gone = old.at
-	}
-	return x.withSlots(uint32(number), gone, next.at)
+	x.shards[number] = next
+	return x.withChanges(changesOf(uint32(number), old, next))
 }
 
-// withSlots copies the buckets of the names that came or went, each once.
-func (x index) withSlots(number uint32, old, next map[string]int32) index {
-	changes := map[uint64]*change{}
-	for name := range next {
-		if _, kept := old[name]; !kept {
-			hash := xxhash.Sum64String(name)
-			c := changeIn(changes, hash)
-			c.add = append(c.add, slot{hash, number})
-		}
-	}
-	for name := range old {
-		if _, kept := next[name]; !kept {
-			hash := xxhash.Sum64String(name)
-			c := changeIn(changes, hash)
-			c.remove = append(c.remove, slot{hash, number})
-		}
-	}
+// withChanges copies the buckets that change, each once.
+func (x index) withChanges(changes map[uint64]*change) index {
 	if len(changes) == 0 {
 		return x
 	}
@@ -111,11 +99,34 @@
 	return x
 }
 
+// change is what comes to one bucket and goes from it.
 type change struct {
 	add    []slot
 	remove []slot
 }
 
+// changesOf compares two revisions place by place; most revisions change versions and no names.
+func changesOf(number uint32, old, next *shard) map[uint64]*change {
+	changes := map[uint64]*change{}
+	for at := range max(old.names(), next.names()) {
+		gone, comes := at < old.names(), at < next.names()
+		if gone && comes && old.name(at) == next.name(at) {
+			continue
+		}
+		if gone {
+			s := slot{xxhash.Sum64String(old.name(at)), number, uint32(at)}
+			c := changeIn(changes, s.hash)
+			c.remove = append(c.remove, s)
+		}
+		if comes {
+			s := slot{xxhash.Sum64String(next.name(at)), number, uint32(at)}
+			c := changeIn(changes, s.hash)
+			c.add = append(c.add, s)
+		}
+	}
+	return changes
+}
+
 func changeIn(changes map[uint64]*change, hash uint64) *change {
 	b := bucketOf(hash)
 	if changes[b] == nil {
@@ -134,13 +145,7 @@
 	}
 	next = append(next, c.add...)
 	slices.SortFunc(next, func(a, b slot) int {
-		if a.hash < b.hash {
-			return -1
-		}
-		if a.hash > b.hash {
-			return 1
-		}
-		return int(a.shard) - int(b.shard)
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.shard, b.shard))
 	})
 	return next
 }
--- a/contract/catalog/index_test.go
+++ b/contract/catalog/index_test.go
@@ -31,7 +31,7 @@
 	}
 	want, got := 0, 0
 	for _, s := range c.held {
-		want += len(s.at)
+		want += s.names()
 	}
 	for _, bucket := range c.keys.buckets {
 		got += len(bucket)
--- a/contract/parser/decode.go
+++ b/contract/parser/decode.go
@@ -174,15 +174,15 @@
 		d.raw()
 		return
 	}
-	v.SetLen(0)
+	n := d.count()
+	if n > 0 {
+		v.Set(reflect.MakeSlice(v.Type(), n, n))
+	}
 	for i := 0; d.enter(']'); i++ {
 		length := len(d.path)
 		d.path = append(d.path, '[')
 		d.path = strconv.AppendInt(d.path, int64(i), 10)
 		d.path = append(d.path, ']')
-		v.Grow(1)
-		v.SetLen(i + 1)
-		v.Index(i).SetZero()
 		d.value(v.Index(i))
 		d.path = d.path[:length]
 	}
--- a/contract/parser/scanner.go
+++ b/contract/parser/scanner.go
@@ -33,6 +33,17 @@
 	return false
 }
 
+// count returns the number of members of the list that comes next, without going past it.
+func (s *scanner) count() int {
+	ahead := *s
+	n := 0
+	for ahead.enter(']') {
+		ahead.raw()
+		n++
+	}
+	return n
+}
+
 func (s *scanner) colon() {
 	s.peek()
 	s.at++
