--- a/zone/relayer/relayer.go
+++ b/zone/relayer/relayer.go
@@ -74,7 +74,7 @@
 
 // Ready reports whether documents are in force and both the platform and the peers were asked.
 func (r *Relayer) Ready() bool {
-	return len(r.Catalog().Documents()) > 0 && (r.read.Load() || r.heard.Load())
+	return r.Catalog().Digest().Highest > 0 && (r.read.Load() || r.heard.Load())
 }
 
 // Run follows the platform until the context ends.
@@ -124,10 +124,7 @@
 	if err := request.Decode(&have); err != nil {
 		return err
 	}
-	for _, doc := range r.Catalog().Documents() {
-		if doc.Revision <= have[doc.Name] {
-			continue
-		}
+	for doc := range r.Catalog().Newer(have) {
 		if err := send(doc); err != nil {
 			return err
 		}
@@ -201,11 +198,7 @@
 func (r *Relayer) fetch(ctx context.Context, vm fuchsiaspoke.VM) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	have := make(map[string]int64)
-	for _, doc := range r.Catalog().Documents() {
-		have[doc.Name] = doc.Revision
-	}
-	return r.Caller.Call(ctx, vm, Method, have, func(body cbor.RawMessage) error {
+	return r.Caller.Call(ctx, vm, Method, r.Catalog().Revisions(), func(body cbor.RawMessage) error {
 		var doc fuchsiaspoke.Document
 		if err := cbor.Unmarshal(body, &doc); err != nil {
 			return errors.Wrap(err, "decode document")
