Bound each account's records and refuse headers before the call begins

Cause: one client account could fill the table of idempotency keys for all; a header that net/http refuses was found after begun, so a call of which no byte left was recorded as unknown; a caller whose time ended with the answer was told unknown. Ruled out: dropping records early, since a dropped one could run again. Change: MaxAccountRecords in the executor; header values and the context are checked before begun; an answer that is there is given; the minter's test prints how many refusals came after a wait.

--- a/contract/minter/minter_test.go
+++ b/contract/minter/minter_test.go
@@ -118,7 +118,9 @@
 	log       []consumption
 	refused   []request
 	granted   int
-	waits     time.Duration
+	// held counts those refused after a wait.
+	held  int
+	waits time.Duration
 }
 
 func newBench(seed uint64, serving func(vm int) *minter.Minter) *bench {
@@ -162,6 +164,7 @@
 	for _, id := range granted {
 		b.start(now, m, b.pending[id])
 	}
+	b.held += len(refused)
 	for _, id := range refused {
 		b.refused = append(b.refused, b.pending[id])
 	}
@@ -273,8 +276,8 @@
 				asked := b.demand(warm, warm+length, load, d.pick)
 				b.run(math.MaxInt64)
 				over := overshoot(b.log, rate, burst)
-				t.Logf("load %.1f %-7s %-13s: %5d asked, %5d refused, overshoot %9.1f tokens, mean wait %v",
-					load, d.name, division.name, asked, len(b.refused), over, (b.waits / time.Duration(max(1, b.granted))).Round(time.Microsecond))
+				t.Logf("load %.1f %-7s %-13s: %5d asked, %5d refused, %4d of them after a wait, overshoot %9.1f tokens, mean wait %v",
+					load, d.name, division.name, asked, len(b.refused), b.held, over, (b.waits / time.Duration(max(1, b.granted))).Round(time.Microsecond))
 				if division.shares == 1 && over != 0 {
 					t.Errorf("load %.1f %s: overshoot of %v tokens", load, d.name, over)
 				}
--- a/idempotency/executor/executor.go
+++ b/idempotency/executor/executor.go
@@ -20,6 +20,7 @@
 	defaultStartWithin   = 10 * time.Second
 	defaultAttemptBound  = time.Minute
 	defaultMaxRecords    = 100_000
+	defaultMaxOfAccount  = 25_000
 	defaultMaxReplyBytes = 64 << 20
 	fullRetryAfter       = 10 * time.Second
 )
@@ -53,6 +54,9 @@
 // caller a final answer, and nothing is sent. A process suspended between begun and the first byte may send late, but
 // from begun on nobody has been told not_run by it, nor will be.
 //
+// What not_run says, it says of the submission that it answers. Where a caller gave up on an earlier submission with the
+// same key, and was told unknown for it, that one may still be under way and be carried out when it arrives.
+//
 // A process that restarts has forgotten its records, and has another incarnation, which Keys tells from the first.
 type Executor struct {
 	Keys   keys
@@ -71,11 +75,14 @@
 	AttemptBound time.Duration
 	// MaxRecords bounds the records; new keys are refused beyond it. Zero means 100,000.
 	MaxRecords int
+	// MaxAccountRecords bounds the records of one client account, so that none fills the table for all; zero means 25,000.
+	MaxAccountRecords int
 	// MaxReplyBytes bounds the recorded answers, but for those that are running; zero means 64 MiB.
 	MaxReplyBytes int
 
 	mu         sync.Mutex
 	records    map[string]*record
+	accounts   map[string]int
 	finished   []*record
 	replyBytes int
 	running    int
@@ -84,6 +91,7 @@
 // record is one key's state: running until done is closed, then its outcome.
 type record struct {
 	key         string
+	account     string
 	fingerprint [sha256.Size]byte
 	started     time.Duration
 	begun       bool
@@ -107,6 +115,9 @@
 	select {
 	case <-r.done:
 	case <-ctx.Done():
+		if ended(r) {
+			return replay(r)
+		}
 		return fuchsiaspoke.Reply{}, unknown("the call was still running when its caller gave up")
 	}
 	if first {
@@ -140,21 +151,20 @@
 		}
 		return r, false, nil
 	}
-	if err := e.mayStart(ctx, age); err != nil {
+	if err := e.mayStart(ctx, call, age); err != nil {
 		return nil, false, err
 	}
-	r := &record{key: call.IdempotencyKey, fingerprint: print, started: now, done: make(chan struct{})}
-	if e.records == nil {
-		e.records = map[string]*record{}
+	r := &record{
+		key: call.IdempotencyKey, account: call.Account, fingerprint: print, started: now, done: make(chan struct{}),
 	}
-	e.records[r.key] = r
+	e.add(r)
 	e.running++
 	go e.attempt(context.WithoutCancel(ctx), r, call)
 	return r, true, nil
 }
 
 // mayStart decides on a key without a record.
-func (e *Executor) mayStart(ctx context.Context, age time.Duration) error {
+func (e *Executor) mayStart(ctx context.Context, call fuchsiaspoke.Call, age time.Duration) error {
 	if age >= e.retention() {
 		return unknown("the record of the idempotency key has expired")
 	}
@@ -164,13 +174,37 @@
 	if ctx.Err() != nil {
 		return notRun(fuchsiaspoke.CodeDeadline, http.StatusGatewayTimeout, "the caller's time ran out before the call started")
 	}
-	if len(e.records) >= orElse(e.MaxRecords, defaultMaxRecords) || e.replyBytes >= orElse(e.MaxReplyBytes, defaultMaxReplyBytes) {
+	if e.full(call.Account) {
 		full := notRun(fuchsiaspoke.CodeOverloaded, http.StatusServiceUnavailable, "the record of idempotency keys is full")
 		return full.WithRetryAfter(fullRetryAfter)
 	}
 	return nil
 }
 
+func (e *Executor) full(account string) bool {
+	return len(e.records) >= orElse(e.MaxRecords, defaultMaxRecords) ||
+		e.accounts[account] >= orElse(e.MaxAccountRecords, defaultMaxOfAccount) ||
+		e.replyBytes >= orElse(e.MaxReplyBytes, defaultMaxReplyBytes)
+}
+
+func (e *Executor) add(r *record) {
+	if e.records == nil {
+		e.records = map[string]*record{}
+		e.accounts = map[string]int{}
+	}
+	e.records[r.key] = r
+	e.accounts[r.account]++
+}
+
+func (e *Executor) drop(r *record) {
+	e.replyBytes -= len(r.reply.Body)
+	delete(e.records, r.key)
+	e.accounts[r.account]--
+	if e.accounts[r.account] == 0 {
+		delete(e.accounts, r.account)
+	}
+}
+
 // attempt admits and sends the call, and closes the record's done channel, which those that joined read.
 func (e *Executor) attempt(ctx context.Context, r *record, call fuchsiaspoke.Call) {
 	ctx, cancel := context.WithTimeout(ctx, orElse(e.AttemptBound, defaultAttemptBound))
@@ -183,7 +217,7 @@
 	r.ended = true
 	if err != nil && !r.begun && !mayHaveRun(err) {
 		r.err = asNotRun(err)
-		delete(e.records, r.key)
+		e.drop(r)
 		return
 	}
 	if err != nil {
@@ -223,9 +257,7 @@
 func (e *Executor) expire(now time.Duration) {
 	n := 0
 	for n < len(e.finished) && e.finished[n].expires <= now {
-		r := e.finished[n]
-		e.replyBytes -= len(r.reply.Body)
-		delete(e.records, r.key)
+		e.drop(e.finished[n])
 		e.finished[n] = nil
 		n++
 	}
--- a/idempotency/executor/executor_test.go
+++ b/idempotency/executor/executor_test.go
@@ -100,6 +100,9 @@
 	requireOutcome(t, e, "a", "outcome_unknown unknown")
 	requireOutcome(t, e, "c", "outcome_unknown unknown")
 	requireOutcome(t, e, "d", "fresh 1")
+	e.MaxRecords = 0
+	e.MaxAccountRecords = 1
+	requireOutcome(t, e, "e", "overloaded not_run")
 }
 
 // TestSuspendedBeforeSend asserts that a process that wakes late sends nothing, and that the key may be tried again.
--- a/upstream/caller/caller.go
+++ b/upstream/caller/caller.go
@@ -95,6 +95,9 @@
 	transport := newTransport(giveOnce(conn))
 	transport.DisableKeepAlives = true
 	defer transport.CloseIdleConnections()
+	if err := req.Context().Err(); err != nil {
+		return fuchsiaspoke.Reply{}, c.notSent(err)
+	}
 	if err := begun(); err != nil {
 		return fuchsiaspoke.Reply{}, err
 	}
@@ -166,6 +169,9 @@
 	if !allowedMethod(call.Method) {
 		return nil, invalid("the method is not passed on")
 	}
+	if !printable(call.ContentType + call.Accept + call.RequestID) {
+		return nil, invalid("a header is not valid")
+	}
 	u, err := url.ParseRequestURI(call.Path)
 	if err != nil || !strings.HasPrefix(call.Path, "/") {
 		return nil, invalid("the path is not valid")
@@ -280,6 +286,11 @@
 	return false
 }
 
+// printable holds for header values that net/http sends, so that it refuses none after begun.
+func printable(value string) bool {
+	return !strings.ContainsFunc(value, func(r rune) bool { return r < ' ' || r == 0x7f })
+}
+
 func setHeader(req *http.Request, name, value string) {
 	if value != "" {
 		req.Header.Set(name, value)
--- a/upstream/caller/caller_test.go
+++ b/upstream/caller/caller_test.go
@@ -156,6 +156,10 @@
 		_, err := c.Send(context.Background(), newCall(path, "x"), nil)
 		requireRun(t, path, err, fuchsiaspoke.NotRun)
 	}
+	smuggled := newCall("/ok", "x")
+	smuggled.Accept = "a\r\nAuthorization: b"
+	_, err := c.Send(context.Background(), smuggled, func() error { t.Error("begun"); return nil })
+	requireRun(t, "smuggled header", err, fuchsiaspoke.NotRun)
 	for _, key := range []string{ownKey, ""} {
 		call := newCall("/ok", "x")
 		call.IdempotencyKey = key
