--- a/cmd/fuchsiaspoke/check.go
+++ b/cmd/fuchsiaspoke/check.go
@@ -25,12 +25,10 @@
 	return nil
 }
 
-// arguments returns what follows the subcommand's name; flaggy takes no open list of positional values.
+// arguments returns what follows the subcommand's name, if it is the one that was called.
 func arguments(command string) []string {
-	for i, argument := range os.Args {
-		if argument == command {
-			return os.Args[i+1:]
-		}
+	if len(os.Args) < 2 || os.Args[1] != command {
+		return nil
 	}
-	return nil
+	return os.Args[2:]
 }
--- a/cmd/fuchsiaspoke/main.go
+++ b/cmd/fuchsiaspoke/main.go
@@ -55,6 +55,8 @@
 		declared[i] = c.declare()
 		flaggy.AttachSubcommand(declared[i], 1)
 	}
+	// The files of check are more values than flaggy can declare.
+	flaggy.DefaultParser.ShowHelpOnUnexpected = len(arguments("check")) == 0
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/contract/granter/bucket.go
+++ b/contract/granter/bucket.go
@@ -40,7 +40,7 @@
 	if err := b.minter.Open(now, account, b.fence); err != nil {
 		return err
 	}
-	b.minter.Credit(now, credit)
+	b.minter.Restore(now, credit)
 	for _, use := range running {
 		if err := b.minter.Adopt(now, use.ID, use.Tokens-use.Consumed); err != nil {
 			return err
@@ -117,7 +117,8 @@
 	if b.timer != nil {
 		b.timer.Stop()
 	}
-	level := b.minter.Level(b.clock())
+	b.minter.Advance(b.clock())
+	level := b.minter.Level()
 	b.minter.Close()
 	for id, later := range b.waiters {
 		later <- false
@@ -129,11 +130,11 @@
 func (b *bucket) state() fuchsiaspoke.AccountState {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := fuchsiaspoke.AccountState{Account: b.name, Waiting: b.minter.Waiting()}
+	state := fuchsiaspoke.AccountState{Account: b.name, Waiting: len(b.waiters)}
 	if b.closed || !b.isOpen() {
 		return state
 	}
-	state.LevelTokens = b.minter.Level(b.clock())
+	state.LevelTokens = b.minter.Level()
 	for _, rest := range b.minter.Outstanding() {
 		state.OutstandingTokens += rest
 	}
--- a/contract/minter/minter.go
+++ b/contract/minter/minter.go
@@ -82,7 +82,7 @@
 	return nil
 }
 
-// Close ends granting, as the lease's end does, and returns the ids that were waiting; none of them will be granted.
+// Close ends filling and granting, as the lease's end does, and returns the ids that were waiting; none of them will be granted.
 func (m *Minter) Close() []string {
 	var ids []string
 	for _, r := range m.waiting {
@@ -91,6 +91,7 @@
 	}
 	m.waiting = nil
 	m.open = false
+	m.rate = 0
 	return ids
 }
 
@@ -105,6 +106,19 @@
 	return left
 }
 
+// Level returns the whole tokens of the level, for a holder that closed to hand to its successor.
+func (m *Minter) Level() int64 {
+	return max(0, m.level/nanotokens)
+}
+
+// Restore adds the level that an earlier holder handed over after it closed. It must come before the first Reserve, and
+// what was filled meanwhile counts against it, so that no more than the burst is ever held.
+func (m *Minter) Restore(now time.Duration, tokens int64) {
+	m.advance(now)
+	m.level += min(max(0, tokens), maxTokens) * nanotokens
+	m.clamp()
+}
+
 // Fence returns the fencing number that the bucket was opened with.
 func (m *Minter) Fence() int64 {
 	return m.fence
@@ -231,6 +245,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "change client account %s", account.Name)
 	}
+	if !m.open {
+		return notOpen()
+	}
 	m.advance(now)
 	m.account = account
 	m.rate = rate
@@ -416,24 +433,3 @@
 	}
 	return waiting
 }
-
-// Level returns what can be reserved at once, in tokens.
-func (m *Minter) Level(now time.Duration) int64 {
-	m.advance(now)
-	return m.level / nanotokens
-}
-
-// Credit adds the level that the holder before handed over after it had closed; it is given once, right after Open.
-func (m *Minter) Credit(now time.Duration, tokens int64) {
-	m.advance(now)
-	if tokens <= 0 || tokens > maxTokens {
-		return
-	}
-	m.level += tokens * nanotokens
-	m.clamp()
-}
-
-// Waiting returns the number of waiting reservations.
-func (m *Minter) Waiting() int {
-	return len(m.waiting)
-}
--- a/demo/demonstrator/demonstrator.go
+++ b/demo/demonstrator/demonstrator.go
@@ -268,7 +268,9 @@
 		m.stop()
 	}
 	for _, m := range d.vms[1:] {
-		<-m.ended
+		if err := <-m.ended; err != nil {
+			d.say("%s did not stop in order: %v", m.runner.VM.ID, err)
+		}
 	}
 }
 
--- a/link/dialer/dialer_test.go
+++ b/link/dialer/dialer_test.go
@@ -47,7 +47,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- a.Serve(ctx, &quic.Transport{Conn: conn}) }()
-	t.Cleanup(func() { cancel(); _ = <-done; conn.Close() })
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+		conn.Close()
+	})
 	return fuchsiaspoke.VM{ID: "vm_1", LinkAddress: conn.LocalAddr().String()}, cancel
 }
 
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -191,7 +191,8 @@
 		_ = m.cmd.Process.Signal(syscall.SIGCONT)
 		_ = m.cmd.Process.Kill()
 		select {
-		case _ = <-m.exited:
+		case err := <-m.exited:
+			f.t.Logf("%s: %v", m.vm.ID, err)
 		case <-time.After(5 * time.Second):
 		}
 		if strings.Contains(m.log.String(), "DATA RACE") || strings.Contains(m.log.String(), "panic:") || f.t.Failed() {
--- a/proof/payment_test.go
+++ b/proof/payment_test.go
@@ -119,7 +119,7 @@
 		switch random.Intn(kinds) {
 		case 0:
 			f.signal(m, syscall.SIGKILL)
-			_ = <-m.exited
+			f.t.Logf("killed %s: %v", m.vm.ID, <-m.exited)
 			time.Sleep(between(random, 100, 900))
 			f.start(m)
 		case 1:
--- a/vm/reporter/reporter.go
+++ b/vm/reporter/reporter.go
@@ -46,7 +46,9 @@
 	if err := server.Shutdown(ending); err != nil {
 		_ = server.Close()
 	}
-	_ = <-done
+	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve operators on %s", socket.Addr())
+	}
 	return ctx.Err()
 }
 
