Stamp every message between VMs with the hybrid logical clock

Cause: the clocks of the VMs never met, so that the merged time line could show an effect before its cause on skewed VMs; every logical count was 0. Ruled out: stamping heartbeats alone, which leaves half a second of disorder. Conclusion: a reservation always comes before the send that it allowed.

--- a/link/acceptor/acceptor.go
+++ b/link/acceptor/acceptor.go
@@ -27,10 +27,17 @@
 type Acceptor struct {
 	// TLS is the process's key material.
 	TLS *tls.Config
+	// Clock stamps what leaves and learns from what comes; nil does neither.
+	Clock clock
 
 	handlers map[string]handler
 }
 
+type clock interface {
+	Now() (wallNanos int64, logical uint32)
+	Observe(wallNanos int64, logical uint32) bool
+}
+
 type handler func(ctx context.Context, peer string, request frame.Frame, send func(any) error) error
 
 // Handle names the function that answers a method; all are named before Serve.
@@ -83,14 +90,14 @@
 
 func (a *Acceptor) serveStream(stream *quic.Stream, vm string) {
 	defer stream.Close()
-	request, err := frame.Reader(stream)()
+	request, err := frame.Reader(stream, a.Clock)()
 	if err != nil {
 		klog.V(1).InfoS("Unreadable request", "peer", vm, "err", err)
 		return
 	}
 	answer, ok := a.handlers[request.Method]
 	if !ok {
-		_ = frame.Frame{}.WithErr(errors.Errorf("unknown method %q", request.Method)).Write(stream)
+		_ = frame.Frame{}.WithErr(errors.Errorf("unknown method %q", request.Method)).Write(stream, a.Clock)
 		return
 	}
 	send := func(value any) error {
@@ -98,8 +105,8 @@
 		if err != nil {
 			return err
 		}
-		return part.Write(stream)
+		return part.Write(stream, a.Clock)
 	}
 	err = answer(stream.Context(), vm, request, send)
-	_ = frame.Frame{}.WithErr(err).Write(stream)
+	_ = frame.Frame{}.WithErr(err).Write(stream, a.Clock)
 }
--- a/link/dialer/dialer.go
+++ b/link/dialer/dialer.go
@@ -37,11 +37,18 @@
 	TLS *tls.Config
 	// Transport is the socket that calls leave from; nil means one of their own for each connection.
 	Transport *quic.Transport
+	// Clock stamps what leaves and learns from what comes; nil does neither.
+	Clock clock
 
 	mu    sync.Mutex
 	conns map[string]*entry
 }
 
+type clock interface {
+	Now() (wallNanos int64, logical uint32)
+	Observe(wallNanos int64, logical uint32) bool
+}
+
 type entry struct {
 	mu   sync.Mutex
 	conn *quic.Conn
@@ -69,7 +76,7 @@
 		stream.CancelWrite(canceled)
 	})
 	defer stop()
-	err = exchange(stream, call, receive)
+	err = d.exchange(stream, call, receive)
 	if err == nil {
 		return nil
 	}
@@ -103,14 +110,14 @@
 	d.conns = nil
 }
 
-func exchange(stream *quic.Stream, call frame.Frame, receive func(cbor.RawMessage) error) error {
-	if err := call.Write(stream); err != nil {
+func (d *Dialer) exchange(stream *quic.Stream, call frame.Frame, receive func(cbor.RawMessage) error) error {
+	if err := call.Write(stream, d.Clock); err != nil {
 		return errors.Wrap(err, "write request")
 	}
 	if err := stream.Close(); err != nil {
 		return errors.Wrap(err, "end request")
 	}
-	next := frame.Reader(stream)
+	next := frame.Reader(stream, d.Clock)
 	for {
 		part, err := next()
 		if err != nil {
--- a/link/frame/frame.go
+++ b/link/frame/frame.go
@@ -23,6 +23,15 @@
 	Refusal *fuchsiaspoke.Refusal `cbor:"4,keyasint,omitempty"`
 	// Failure is the text of an untyped failure, on the last frame.
 	Failure string `cbor:"5,keyasint,omitempty"`
+	// WallNanos and Logical are the sender's hybrid logical clock, so that the time line keeps cause before effect.
+	WallNanos int64  `cbor:"6,keyasint,omitempty"`
+	Logical   uint32 `cbor:"7,keyasint,omitempty"`
+}
+
+// clock is a hybrid logical clock; a nil clock stamps nothing and learns nothing.
+type clock interface {
+	Now() (wallNanos int64, logical uint32)
+	Observe(wallNanos int64, logical uint32) bool
 }
 
 // New returns a frame that carries the value.
@@ -65,8 +74,11 @@
 	return f
 }
 
-// Write sends the frame.
-func (f Frame) Write(w io.Writer) error {
+// Write sends the frame, stamped by the clock.
+func (f Frame) Write(w io.Writer, clock clock) error {
+	if clock != nil {
+		f.WallNanos, f.Logical = clock.Now()
+	}
 	data, err := cbor.Marshal(f)
 	if err != nil {
 		return errors.Wrap(err, "encode frame")
@@ -75,12 +87,15 @@
 	return err
 }
 
-// Reader returns a function that reads the next frame from r.
-func Reader(r io.Reader) func() (Frame, error) {
+// Reader returns a function that reads the next frame from r and shows its stamp to the clock.
+func Reader(r io.Reader, clock clock) func() (Frame, error) {
 	decoder := cbor.NewDecoder(io.LimitReader(r, maxStreamBytes))
 	return func() (Frame, error) {
 		var f Frame
 		err := decoder.Decode(&f)
+		if err == nil && clock != nil && f.WallNanos != 0 {
+			clock.Observe(f.WallNanos, f.Logical)
+		}
 		return f, err
 	}
 }
--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -21,6 +21,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/keyring"
 	"github.com/fuchsiaspoke/fuchsiaspoke/metrics/meter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/platforms/poller"
+	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/clock"
 	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/recorder"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/balancer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/manager"
@@ -100,7 +101,7 @@
 		return nil, err
 	}
 	n := &node{settings: r, incarnation: incarnation, callersEnd: make(chan error, 1)}
-	n.recorder = &recorder.Recorder{VM: r.VM.ID}
+	n.recorder = &recorder.Recorder{VM: r.VM.ID, Clock: &clock.Clock{}}
 	n.meter = &meter.Meter{}
 	n.asserter = &asserter.Asserter{Stop: r.Stop, Recorder: n.recorder, Meter: n.meter}
 	if err := n.listen(); err != nil {
@@ -156,8 +157,8 @@
 	if err != nil {
 		return err
 	}
-	n.dialer = &dialer.Dialer{TLS: config, Transport: n.links}
-	n.acceptor = &acceptor.Acceptor{TLS: config}
+	n.dialer = &dialer.Dialer{TLS: config, Transport: n.links, Clock: n.recorder.Clock}
+	n.acceptor = &acceptor.Acceptor{TLS: config, Clock: n.recorder.Clock}
 	return nil
 }
 
