Seal a list only by answers that carry its fences, and abandon the silent at a cold start

Cause: an answer from before a middle list was learned could seal it without the fences of its leases; fences passed on between fresh processes were never forgotten; a dead VM in the list kept a whole fleet from starting. Ruled out: counting any fresh majority at once, which a replaced roster could use against a cut-off member with memory. Change: sightings carry their ask's number; a fence passed on carries how long it was idle (additive field Idle); Abandon also covers a fresh process that heard a majority.

--- a/lease.go
+++ b/lease.go
@@ -38,6 +38,8 @@
 	Fence int64 `cbor:"3,keyasint"`
 	// Holder is the VM that the promise stands for when it was not granted.
 	Holder string `cbor:"4,keyasint,omitempty"`
+	// Idle is how long the grantor has not been asked for the resource.
+	Idle time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // LeaseAnswer is a grantor's answer to one ask.
--- a/zone/leaser/chain.go
+++ b/zone/leaser/chain.go
@@ -14,6 +14,8 @@
 	list    fuchsiaspoke.VMList
 	council []string
 	added   time.Duration
+	// since is the first ask whose chain had the list.
+	since   uint64
 	moved   bool
 	movedAt time.Duration
 }
@@ -25,6 +27,7 @@
 // sighting is the newest answer of a peer; at is when the ask was sent.
 type sighting struct {
 	at     time.Duration
+	number uint64
 	chain  []int64
 	floor  int64
 	ready  bool
@@ -38,6 +41,10 @@
 	return s.chain[len(s.chain)-1]
 }
 
+func (s sighting) isBeyond(r *roster) bool {
+	return s.ready && s.merged && s.number >= r.since && s.current() > r.list.Revision
+}
+
 func (l *Leaser) current() int64 {
 	return l.Newest().Revision
 }
@@ -55,7 +62,7 @@
 		return
 	}
 	council := ranker.Ranker{}.Council(l.Group, list.VMs, l.CouncilSize)
-	l.chain = slices.Insert(l.chain, at, roster{list: list, council: council, added: now})
+	l.chain = slices.Insert(l.chain, at, roster{list: list, council: council, added: now, since: l.number + 1})
 	for _, h := range l.holdings {
 		clear(h.grants)
 	}
@@ -113,7 +120,7 @@
 		return
 	}
 	l.peers[answer.From] = sighting{
-		at: sent, chain: answer.Chain, floor: answer.Floor, ready: answer.Ready, merged: merged,
+		at: sent, number: answer.Number, chain: answer.Chain, floor: answer.Floor, ready: answer.Ready, merged: merged,
 	}
 }
 
@@ -150,7 +157,8 @@
 	return r.moved && (l.faults.sealAtOnce || now >= r.movedAt+l.stretched())
 }
 
-// hasMoved reports whether a majority of the council was seen beyond the list within one lease length.
+// hasMoved reports whether a majority of the council was seen beyond the list within one lease length, in answers to asks that
+// had the list in their chain, so that the fences came with them.
 func (l *Leaser) hasMoved(now time.Duration, r *roster) bool {
 	moved := 0
 	for _, id := range r.council {
@@ -158,7 +166,7 @@
 		switch {
 		case id == l.Self && l.ready:
 			moved++
-		case seen && s.ready && s.merged && s.current() > r.list.Revision && now-s.at < l.Length:
+		case seen && s.isBeyond(r) && now-s.at < l.Length:
 			moved++
 		case l.isGone(now, r, id):
 			moved++
@@ -169,14 +177,13 @@
 
 // isGone reports whether a council member is off the current list and was silent for the time to abandon it.
 func (l *Leaser) isGone(now time.Duration, r *roster, id string) bool {
-	if l.Abandon <= 0 || id == l.Self {
-		return false
-	}
+	return l.isSilent(now, r, id) && !slices.ContainsFunc(l.Newest().VMs, func(vm fuchsiaspoke.VM) bool { return vm.ID == id })
+}
+
+// isSilent reports whether a peer was silent for the time to abandon it.
+func (l *Leaser) isSilent(now time.Duration, r *roster, id string) bool {
 	heard := max(r.added, l.peers[id].at)
-	if now-heard < l.Abandon {
-		return false
-	}
-	return !slices.ContainsFunc(l.Newest().VMs, func(vm fuchsiaspoke.VM) bool { return vm.ID == id })
+	return l.Abandon > 0 && id != l.Self && now-heard >= l.Abandon
 }
 
 // mayGrant reports whether a fresh process has waited and learned enough.
@@ -199,9 +206,10 @@
 	return true
 }
 
-// hasLearned reports whether a majority of ready others in the council, or all of it, answered asks sent since then.
+// hasLearned reports whether a majority of ready others in the council, or all of it, answered asks sent since then; silent
+// members are abandoned once a majority answered.
 func (l *Leaser) hasLearned(now time.Duration, r *roster, since time.Duration) bool {
-	heard, ready := 0, 0
+	heard, ready, silent := 0, 0, 0
 	for _, id := range r.council {
 		s, seen := l.peers[id]
 		switch {
@@ -214,9 +222,14 @@
 			}
 		case l.isGone(now, r, id):
 			heard++
+		case l.isSilent(now, r, id):
+			silent++
 		}
 	}
-	return ready >= r.majority() || heard == len(r.council)
+	if ready >= r.majority() || heard == len(r.council) {
+		return true
+	}
+	return heard >= r.majority() && heard+silent == len(r.council)
 }
 
 // lacking returns the lists in use that a peer with the chain and floor doesn't know.
--- a/zone/leaser/grantor.go
+++ b/zone/leaser/grantor.go
@@ -29,14 +29,14 @@
 	l.settle(now)
 	if ask.Release {
 		l.release(now, &ask)
-		return l.answer(&ask, nil)
+		return l.answer(now, &ask, nil)
 	}
 	accepted := l.accepts(&ask)
 	promises := make([]fuchsiaspoke.LeasePromise, 0, len(ask.Resources))
 	for i, resource := range ask.Resources {
 		promises = append(promises, l.promise(now, &ask, i, resource, accepted))
 	}
-	return l.answer(&ask, promises)
+	return l.answer(now, &ask, promises)
 }
 
 // accepts reports whether the asker counts majorities in all lists that this grantor counts them in.
@@ -100,9 +100,9 @@
 }
 
 // answer completes an answer with the chain and what the asker lacks of it.
-func (l *Leaser) answer(ask *fuchsiaspoke.LeaseAsk, promises []fuchsiaspoke.LeasePromise) fuchsiaspoke.LeaseAnswer {
+func (l *Leaser) answer(now time.Duration, ask *fuchsiaspoke.LeaseAsk, promises []fuchsiaspoke.LeasePromise) fuchsiaspoke.LeaseAnswer {
 	if !l.isSettled(ask) {
-		promises = l.appendFences(promises)
+		promises = l.appendFences(now, promises)
 	}
 	lists := l.lacking(ask.Chain, ask.Floor)
 	if l.faults.skipChainCheck {
@@ -128,14 +128,14 @@
 	return ask.Chain[0] == l.current()
 }
 
-func (l *Leaser) appendFences(promises []fuchsiaspoke.LeasePromise) []fuchsiaspoke.LeasePromise {
+func (l *Leaser) appendFences(now time.Duration, promises []fuchsiaspoke.LeasePromise) []fuchsiaspoke.LeasePromise {
 	asked := make(map[string]bool, len(promises))
 	for _, p := range promises {
 		asked[p.Resource] = true
 	}
 	for resource, r := range l.records {
 		if r.fence > 0 && !asked[resource] {
-			promises = append(promises, fuchsiaspoke.LeasePromise{Resource: resource, Fence: r.fence})
+			promises = append(promises, fuchsiaspoke.LeasePromise{Resource: resource, Fence: r.fence, Idle: now - r.touched})
 		}
 	}
 	slices.SortFunc(promises[len(asked):], func(a, b fuchsiaspoke.LeasePromise) int {
@@ -144,17 +144,17 @@
 	return promises
 }
 
-// record returns the memory of a resource, or nil when there is no room for one more.
+// record returns the memory of a resource that was used now, or nil when there is no room for one more.
 func (l *Leaser) record(now time.Duration, resource string) *record {
 	r := l.records[resource]
 	if r == nil {
 		if len(l.records) >= maxRecords {
 			return nil
 		}
-		r = &record{}
+		r = &record{touched: now}
 		l.records[resource] = r
 	}
-	r.touched = now
+	r.touched = max(r.touched, now)
 	return r
 }
 
--- a/zone/leaser/holder.go
+++ b/zone/leaser/holder.go
@@ -123,7 +123,7 @@
 
 func (l *Leaser) learnFences(now time.Duration, promises []fuchsiaspoke.LeasePromise) {
 	for _, p := range promises {
-		if r := l.record(now, p.Resource); r != nil {
+		if r := l.record(now-p.Idle, p.Resource); r != nil {
 			r.fence = max(r.fence, p.Fence)
 		}
 	}
--- a/zone/leaser/leaser.go
+++ b/zone/leaser/leaser.go
@@ -48,7 +48,8 @@
 	Length time.Duration
 	// CouncilSize is the number of grantors for each list; zero is 5.
 	CouncilSize int
-	// Abandon is the silence after which council members that the current list no longer shows count as moved; zero is never.
+	// Abandon is the silence after which council members count as moved where the current list no longer shows them, and after
+	// which a fresh process goes without a minority of a council; zero is never.
 	Abandon time.Duration
 
 	faults faults
--- a/zone/leaser/leaser_test.go
+++ b/zone/leaser/leaser_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -99,7 +100,8 @@
 	}
 }
 
-// TestAbandon replaces a majority of the council at once, which only silence for long enough can make up for.
+// TestAbandon starts with a dead VM in the list, and then replaces a majority of the council at once, which only silence for
+// long enough can make up for.
 func TestAbandon(t *testing.T) {
 	const silence = 3 * length
 	for _, abandon := range []time.Duration{0, silence} {
@@ -108,8 +110,12 @@
 		for _, p := range w.vms {
 			p.leaser.Abandon = abandon
 		}
-		w.run(2*length + time.Second)
-		vms := append([]fuchsiaspoke.VM{}, w.lists[0].VMs...)
+		vms := slices.Clone(w.lists[0].VMs)
+		w.vms[vms[0].ID].alive = false
+		w.run(silence + 2*length)
+		if held := len(w.holders()); (held == len(w.resources)) != (abandon > 0) {
+			t.Errorf("abandon after %v: %d held after a cold start without one", abandon, held)
+		}
 		for i := range 3 {
 			w.vms[vms[i].ID].alive = false
 			vms[i] = w.newVM()
