--- a/zone/leaser/leaser_test.go
+++ b/zone/leaser/leaser_test.go
@@ -130,3 +130,24 @@
 		}
 	}
 }
+
+// TestFullChainTakesFloor cuts a VM off while the platform publishes more lists than a chain holds.
+func TestFullChainTakesFloor(t *testing.T) {
+	const published = maxChain + 36
+	vms := []fuchsiaspoke.VM{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	l := Leaser{Self: "a", Incarnation: "a-1"}
+	for revision := range int64(published) {
+		l.Adopt(0, fuchsiaspoke.VMList{Revision: revision + 1, VMs: vms})
+	}
+	if len(l.Chain()) != maxChain {
+		t.Fatalf("chain of %d lists", len(l.Chain()))
+	}
+	next := fuchsiaspoke.VMList{Revision: published + 1, VMs: vms}
+	l.Hear(time.Second, fuchsiaspoke.LeaseAnswer{
+		From: "b", Number: l.Ask(0, nil)[0].Number, Ready: true, Floor: published,
+		Chain: []int64{next.Revision}, Lists: []fuchsiaspoke.VMList{next},
+	})
+	if chain := l.Chain(); !slices.Equal(chain, []int64{next.Revision}) {
+		t.Errorf("chain %v after an answer with a floor above all", chain)
+	}
+}
