Hold what others run: fenced sends, a last report before each unload

Ruled out: trusting the lease alone, as a process may sleep between the check and the write; holding every adapter until the lease ends, which would stop evictions. Change: Generation.Fence (additive) is set at each send, so that an engine that checks fences refuses late sends too; a report that shows more requests than were sent from here holds the adapter; the engine is asked once more right before each unload. A submit looks at the lease itself, so that the first ones are not refused before the first tick. Conclusion: left open is an engine without fences whose late send or unload arrives between the last report and the order.

--- a/generation.go
+++ b/generation.go
@@ -23,6 +23,8 @@
 	Patience time.Duration `cbor:"10,keyasint"`
 	// KeyHash names the key, so that a withdrawal reaches queued and running work; it is empty on open profiles.
 	KeyHash string `cbor:"11,keyasint,omitempty"`
+	// Fence is the fencing number of the lease that the generation is sent under; it is zero until then.
+	Fence int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // CostTokens is the bound on what the generation takes from its client account's rate.
--- a/upstream/dispatcher/dispatcher_test.go
+++ b/upstream/dispatcher/dispatcher_test.go
@@ -58,7 +58,7 @@
 	cancel context.CancelFunc
 }
 
-func start(t *testing.T, e *fakeEngine, fence int64) *fixture {
+func start(t *testing.T, e *fakeEngine, fence int64, sets ...func(*fixture)) *fixture {
 	t.Helper()
 	f := &fixture{lease: newLease(fence)}
 	f.Dispatcher = &dispatcher.Dispatcher{
@@ -68,11 +68,9 @@
 		Clock:    f.lease.now,
 		Violated: func(detail string) { panic(detail) },
 	}
-	f.run(t)
-	return f
-}
-
-func (f *fixture) run(t *testing.T) {
+	for _, set := range sets {
+		set(f)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	go func() { _ = f.Run(ctx) }()
@@ -80,6 +78,56 @@
 		cancel()
 		<-f.Done()
 	})
+	return f
+}
+
+// answer is a submitted request's end.
+type answer struct {
+	chunks atomic.Int64
+	err    error
+	done   chan struct{}
+}
+
+// send submits in the background.
+func (f *fixture) send(g fuchsiaspoke.Generation) *answer {
+	a := &answer{done: make(chan struct{})}
+	go func() {
+		defer close(a.done)
+		a.err = f.Submit(context.Background(), g, func(fuchsiaspoke.Chunk) error {
+			a.chunks.Add(1)
+			return nil
+		})
+	}()
+	return a
+}
+
+// whole waits for the end and checks that the answer is whole.
+func (a *answer) whole(t *testing.T, g fuchsiaspoke.Generation) {
+	t.Helper()
+	<-a.done
+	if a.err != nil || a.chunks.Load() != g.MaxOutputTokens {
+		t.Errorf("%s: %d of %d chunks, error %v", g.RequestID, a.chunks.Load(), g.MaxOutputTokens, a.err)
+	}
+}
+
+// refused waits for the end and checks the refusal.
+func (a *answer) refused(t *testing.T, code fuchsiaspoke.Code, run fuchsiaspoke.Run) {
+	t.Helper()
+	<-a.done
+	if r := refusal(t, a.err); r.Code != code || r.Run != run {
+		t.Errorf("refused with %s %s, want %s %s", r.Code, r.Run, code, run)
+	}
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 3000 {
+		if ok() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("never happened: " + what)
 }
 
 func request(id, account string, adapter int, output int64) fuchsiaspoke.Generation {
--- a/upstream/dispatcher/engine_test.go
+++ b/upstream/dispatcher/engine_test.go
@@ -141,6 +141,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sends[g.RequestID]++
+	if e.isOld(g.Fence) {
+		return nil, &fuchsiaspoke.Refusal{Code: fuchsiaspoke.CodeUpstreamFailed, Run: fuchsiaspoke.NotRun, Status: http.StatusConflict}
+	}
 	if !e.resident[g.Adapter] {
 		return nil, &fuchsiaspoke.Refusal{Code: fuchsiaspoke.CodeUpstreamFailed, Run: fuchsiaspoke.NotRun, Status: http.StatusNotFound}
 	}
@@ -213,3 +216,26 @@
 	defer e.mu.Unlock()
 	return append([]string(nil), e.faults...), e.loads, e.peak
 }
+
+func (e *fakeEngine) sentTimes(requestID string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sends[requestID]
+}
+
+// blindEngine hides what runs, as if a takeover held nothing.
+type blindEngine struct {
+	*fakeEngine
+}
+
+func (e blindEngine) Claim(ctx context.Context, fence int64) (fuchsiaspoke.EngineReport, error) {
+	r, err := e.fakeEngine.Claim(ctx, fence)
+	r.Running = nil
+	return r, err
+}
+
+func (e blindEngine) Report(ctx context.Context) (fuchsiaspoke.EngineReport, error) {
+	r, err := e.fakeEngine.Report(ctx)
+	r.Running = nil
+	return r, err
+}
--- a/upstream/dispatcher/loading.go
+++ b/upstream/dispatcher/loading.go
@@ -27,7 +27,11 @@
 	unloadMargin = 500 * time.Millisecond
 )
 
-var errLeaseLost = errors.New("lease lost before the order")
+var (
+	errLeaseLost = errors.New("lease lost before the order")
+	errInUse     = errors.New("engine still runs the adapter")
+	errRestarted = errors.New("engine restarted")
+)
 
 // loaderState is the duty's view of loads.
 type loaderState struct {
@@ -52,7 +56,9 @@
 	adapter fuchsiaspoke.Adapter
 	victim  fuchsiaspoke.Adapter
 	evict   bool
-	release func()
+	// incarnation is the engine's at the time of the decision.
+	incarnation string
+	release     func()
 }
 
 // need is an adapter to load and the one to evict for it.
@@ -135,7 +141,15 @@
 		d.slots.StartLoad(now, n.adapter)
 	}
 	d.loader.loads++
-	o := order{number: d.tenure.number, fence: d.tenure.fence, adapter: n.adapter, victim: n.victim, evict: n.evict, release: m.release}
+	o := order{
+		number:      d.tenure.number,
+		fence:       d.tenure.fence,
+		adapter:     n.adapter,
+		victim:      n.victim,
+		evict:       n.evict,
+		incarnation: d.slots.Incarnation(),
+		release:     m.release,
+	}
 	d.spawn(o.first(d))
 }
 
@@ -147,14 +161,34 @@
 	return func(ctx context.Context) message {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
+		if err := o.confirmIdle(ctx, d); err != nil {
+			return unloaded{order: o, err: err}
+		}
 		if !d.mayOrder(o.fence, unloadMargin) {
-			return unloaded{o, errLeaseLost}
+			return unloaded{order: o, err: errLeaseLost}
 		}
 		err := d.Engine.Unload(ctx, o.victim, o.fence)
-		return unloaded{o, errors.Wrapf(err, "unload adapter at upstream %s", d.Upstream.ID)}
+		return unloaded{order: o, sent: true, err: errors.Wrapf(err, "unload adapter at upstream %s", d.Upstream.ID)}
 	}
 }
 
+// confirmIdle asks the engine once more that nothing uses the victim, as a VM that woke up late might.
+func (o order) confirmIdle(ctx context.Context, d *Dispatcher) error {
+	report, err := d.Engine.Report(ctx)
+	if err != nil {
+		return errors.Wrapf(err, "report before unload at upstream %s", d.Upstream.ID)
+	}
+	if report.Incarnation != o.incarnation {
+		return errRestarted
+	}
+	for _, use := range report.Running {
+		if use.Adapter == o.victim && use.Requests > 0 {
+			return errInUse
+		}
+	}
+	return nil
+}
+
 func (o order) load(d *Dispatcher) func(ctx context.Context) message {
 	return func(ctx context.Context) message {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -178,7 +212,9 @@
 // unloaded is the end of an unload order.
 type unloaded struct {
 	order order
-	err   error
+	// sent says that the order went out, so that it may arrive in spite of the error.
+	sent bool
+	err  error
 }
 
 func (m unloaded) apply(d *Dispatcher, now time.Duration) {
@@ -187,7 +223,12 @@
 		o.end(d)
 		return
 	}
-	d.slots.EndUnload(now, o.victim, m.err == nil)
+	if m.sent {
+		d.slots.EndUnload(now, o.victim, m.err == nil)
+	} else {
+		d.slots.KeepUnload(now, o.victim, errors.Is(m.err, errInUse))
+		d.reporter.next = now
+	}
 	if m.err != nil {
 		o.end(d)
 		d.loader.retryAt = now + jittered(firstBackoff)
--- a/upstream/dispatcher/message.go
+++ b/upstream/dispatcher/message.go
@@ -28,6 +28,7 @@
 
 func (m submitted) apply(d *Dispatcher, now time.Duration) {
 	g := m.task.generation
+	d.followLease(now)
 	switch {
 	case d.draining || d.workers.Err() != nil:
 		d.answer(m.task, drainingRefusal())
--- a/upstream/dispatcher/task.go
+++ b/upstream/dispatcher/task.go
@@ -121,6 +121,7 @@
 // attempt sends the task once, after the last checks, the lease last of all.
 func (d *Dispatcher) attempt(ctx context.Context, t *task, sink func(fuchsiaspoke.Chunk) error) (outcome, error) {
 	g := t.generation
+	g.Fence = t.fence
 	if ctx.Err() != nil {
 		return outcome{}, d.unsent(t, goneRefusal())
 	}
--- a/upstream/slotter/slotter.go
+++ b/upstream/slotter/slotter.go
@@ -105,6 +105,11 @@
 	return int(s.foreign)
 }
 
+// Incarnation is the engine's incarnation that the table is about.
+func (s *Slotter) Incarnation() string {
+	return s.incarnation
+}
+
 // Violations is the number of broken invariants seen.
 func (s *Slotter) Violations() int {
 	return s.violations
@@ -232,6 +237,19 @@
 	s.unloadedAt[a] = now
 }
 
+// KeepUnload takes back an unload whose order was never sent; where the engine still runs the adapter, it is held.
+func (s *Slotter) KeepUnload(now time.Duration, a fuchsiaspoke.Adapter, inUse bool) {
+	t := s.slots[a]
+	if t == nil || t.state != unloading {
+		return
+	}
+	t.state = resident
+	t.closed = false
+	if inUse {
+		s.Hold(now, a)
+	}
+}
+
 // Reserve closes the slot with the fewest uses, so that it comes free, unless one is closed already.
 func (s *Slotter) Reserve(now time.Duration) {
 	var best fuchsiaspoke.Adapter
@@ -293,6 +311,7 @@
 	s.asOf = report.AsOfMillis
 	s.release(report)
 	s.adopt(now, report)
+	s.holdForeign(report)
 	total := report.Waiting
 	for _, use := range report.Running {
 		total += use.Requests
@@ -320,6 +339,18 @@
 	}
 }
 
+// holdForeign holds adapters that more requests use than were sent from here, as when another VM still sends.
+func (s *Slotter) holdForeign(report fuchsiaspoke.EngineReport) {
+	for _, use := range report.Running {
+		t := s.slots[use.Adapter]
+		if t == nil || use.Requests <= int64(s.uses[use.Adapter]) {
+			continue
+		}
+		t.held = true
+		t.heldAsOf = max(t.heldAsOf, report.AsOfMillis)
+	}
+}
+
 // adopt takes up adapters that the engine reports and the table lacks, as when an order of the holder before came late.
 func (s *Slotter) adopt(now time.Duration, report fuchsiaspoke.EngineReport) {
 	for _, a := range report.Resident {
--- a/upstream/slotter/slotter_test.go
+++ b/upstream/slotter/slotter_test.go
@@ -103,6 +103,24 @@
 	}
 }
 
+// TestForeignUse checks that a report of more requests than were sent from here keeps the adapter.
+func TestForeignUse(t *testing.T) {
+	a := adapter(0)
+	all := []fuchsiaspoke.Adapter{a}
+	s := slotter.Slotter{Slots: 1, Violated: func(detail string) { t.Error(detail) }}
+	s.TakeOver(0, report("one", 100, all, nil))
+	for _, step := range []struct {
+		asOf    int64
+		running []fuchsiaspoke.Adapter
+		inUse   bool
+	}{{200, nil, false}, {300, all, true}, {400, nil, false}} {
+		s.Observe(time.Second, report("one", step.asOf, all, step.running), 0)
+		if s.InUse(a) != step.inUse {
+			t.Errorf("report as of %d: in use %v", step.asOf, !step.inUse)
+		}
+	}
+}
+
 // TestRandomVictims checks under random use that no victim is in use, nor wanted while another would do.
 func TestRandomVictims(t *testing.T) {
 	const slots = 6
