--- a/generation.go
+++ b/generation.go
@@ -25,6 +25,8 @@
 	KeyHash string `cbor:"11,keyasint,omitempty"`
 	// Grant is the token reservation, confirmed again right before sending.
 	Grant TokenGrant `cbor:"12,keyasint"`
+	// Fence is the fencing number of the lease that the generation is sent under; it is zero until then.
+	Fence int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // CostTokens is the bound on what the generation takes from its client account's rate.
