--- /dev/null
+++ b/bench/summarizer/rates.go
@@ -0,0 +1,94 @@
+package summarizer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/bench/outcome"
+	"github.com/fuchsiaspoke/fuchsiaspoke/bench/summary"
+	"github.com/fuchsiaspoke/fuchsiaspoke/standin/record"
+)
+
+// use is tokens that an upstream counted at a time.
+type use struct {
+	at     time.Time
+	tokens float64
+}
+
+// judgeRates holds each client account's use, on the upstreams' count, against its rate and burst.
+func (s Summarizer) judgeRates(sum *summary.Summary, runs map[string][]record.Record, accounts map[string]*account) {
+	uses := make(map[string][]use)
+	refused := make(map[string][]outcome.Outcome)
+	for _, o := range s.Outcomes {
+		for _, r := range runs[o.Mark] {
+			uses[o.Account] = append(uses[o.Account], usesOf(o, r)...)
+		}
+		if o.Code != "" && s.measured(o.Intended) {
+			refused[o.Account] = append(refused[o.Account], o)
+		}
+	}
+	for _, t := range s.Scenario.Tenants {
+		a := accounts[t.Account.Name]
+		own := uses[t.Account.Name]
+		slices.SortFunc(own, func(a, b use) int { return a.at.Compare(b.at) })
+		a.portion.OvershootTokens = overshoot(t.Account, own)
+		a.portion.RefusedInsideRate = refusedInside(t.Account, own, refused[t.Account.Name])
+		for _, u := range own {
+			a.portion.TokensPerSecond += u.tokens / (s.Scenario.Warmup + s.Scenario.Duration).Seconds()
+		}
+		sum.OvershootTokens = max(sum.OvershootTokens, a.portion.OvershootTokens)
+		sum.RefusedInsideRate += a.portion.RefusedInsideRate
+	}
+}
+
+// usesOf spreads a run's tokens over its time: the prompt at its start, the output evenly until its end.
+func usesOf(o outcome.Outcome, r record.Record) []use {
+	if o.Kind != "generation" {
+		return []use{{r.Start, float64(o.CostTokens)}}
+	}
+	all := []use{{r.Start, float64(r.PromptTokens)}}
+	took := r.End.Sub(r.Start)
+	for i := range r.OutputTokens {
+		at := r.Start.Add(took * time.Duration(i+1) / time.Duration(r.OutputTokens))
+		all = append(all, use{at, 1})
+	}
+	return all
+}
+
+// overshoot is the most by which the use in any window exceeds burst plus rate times the window's length.
+//
+// The level of a leaky bucket is the largest excess over the rate of all windows that end now (Le Boudec and Thiran,
+// "Network Calculus", 2001, section 1.2).
+func overshoot(account fuchsiaspoke.ClientAccount, uses []use) float64 {
+	level, most := 0.0, 0.0
+	for i, u := range uses {
+		if i > 0 {
+			level = max(0, level-account.RateTokensPerSecond*u.at.Sub(uses[i-1].at).Seconds())
+		}
+		level += u.tokens
+		most = max(most, level-account.BurstTokens)
+	}
+	return most
+}
+
+// refusedInside replays the client account's bucket and counts the refusals for which it held the request's cost.
+func refusedInside(account fuchsiaspoke.ClientAccount, uses []use, refused []outcome.Outcome) int {
+	level, inside, next := 0.0, 0, 0
+	var last time.Time
+	for _, o := range refused {
+		for next < len(uses) && !uses[next].at.After(o.Intended) {
+			level = drain(account, level, last, uses[next].at) + uses[next].tokens
+			last = uses[next].at
+			next++
+		}
+		if drain(account, level, last, o.Intended)+float64(o.CostTokens) <= account.BurstTokens {
+			inside++
+		}
+	}
+	return inside
+}
+
+func drain(account fuchsiaspoke.ClientAccount, level float64, from, to time.Time) float64 {
+	return max(0, level-account.RateTokensPerSecond*to.Sub(from).Seconds())
+}
