--- a/bench/portion/portion.go
+++ b/bench/portion/portion.go
@@ -12,9 +12,10 @@
 	Whole    int  `json:"whole"`
 	Refused  int  `json:"refused"`
 	// Wait is from the intended start until the engine began the run.
-	Wait              percentile.Percentile `json:"wait_ms"`
-	FirstToken        percentile.Percentile `json:"first_token_ms"`
-	RefusedInsideRate int                   `json:"refused_inside_rate"`
-	OvershootTokens   float64               `json:"overshoot_tokens"`
-	TokensPerSecond   float64               `json:"tokens_per_second"`
+	Wait                  percentile.Percentile `json:"wait_ms"`
+	FirstToken            percentile.Percentile `json:"first_token_ms"`
+	RefusedInsideRate     int                   `json:"refused_inside_rate"`
+	RefusedInsideReserved int                   `json:"refused_inside_reserved"`
+	OvershootTokens       float64               `json:"overshoot_tokens"`
+	TokensPerSecond       float64               `json:"tokens_per_second"`
 }
--- a/bench/reporter/reporter.go
+++ b/bench/reporter/reporter.go
@@ -81,7 +81,9 @@
 	row("worst client account, wait ms p99", func(s summary.Summary) string {
 		return fmt.Sprintf("%s, %.0f", s.WorstAccount, s.WorstAccountWaitP99)
 	})
-	count("refused inside the rate", func(s summary.Summary) int { return s.RefusedInsideRate })
+	row("refused inside the rate: by use, by reservation", func(s summary.Summary) string {
+		return fmt.Sprintf("%d, %d", s.RefusedInsideRate, s.RefusedInsideReserved)
+	})
 	row("overshoot, tokens", func(s summary.Summary) string { return fmt.Sprintf("%.0f", s.OvershootTokens) })
 	count("payments run twice", func(s summary.Summary) int { return s.DuplicatePayment })
 	count("generations run twice", func(s summary.Summary) int { return s.DuplicateRuns })
@@ -96,11 +98,14 @@
 
 func (r Reporter) accountLines() [][]string {
 	var lines [][]string
+	if len(r.Runs) == 0 {
+		return nil
+	}
 	for i := range r.Runs[0].Accounts {
-		line := []string{r.Runs[0].Accounts[i].Account + ": whole, refused (inside), wait ms p99"}
+		line := []string{r.Runs[0].Accounts[i].Account + ": whole, refused (inside by use, by reservation), wait ms p99"}
 		for _, s := range r.Runs {
 			a := s.Accounts[i]
-			line = append(line, fmt.Sprintf("%d, %d (%d), %.0f", a.Whole, a.Refused, a.RefusedInsideRate, a.Wait.P99))
+			line = append(line, fmt.Sprintf("%d, %d (%d, %d), %.0f", a.Whole, a.Refused, a.RefusedInsideRate, a.RefusedInsideReserved, a.Wait.P99))
 		}
 		lines = append(lines, line)
 	}
--- a/bench/summary/summary.go
+++ b/bench/summary/summary.go
@@ -37,8 +37,12 @@
 	WorstAccount        string  `json:"worst_client_account"`
 	WorstAccountWaitP99 float64 `json:"worst_client_account_wait_p99_ms"`
 
-	// RefusedInsideRate counts refusals for which the client account's bucket, replayed from what ran, had the tokens.
+	// RefusedInsideRate counts refusals for which a bucket that every served request takes its true tokens from as it
+	// arrives had the tokens that the refused request could take.
 	RefusedInsideRate int `json:"refused_inside_rate"`
+	// RefusedInsideReserved does so for a bucket that holds the most a request can take until its end, since no system
+	// knows the length of an answer before.
+	RefusedInsideReserved int `json:"refused_inside_reserved"`
 	// OvershootTokens is the most by which what ran exceeds rate and burst in any window, on the upstreams' count.
 	OvershootTokens  float64 `json:"overshoot_tokens"`
 	DuplicatePayment int     `json:"duplicate_payments"`
