Reserve tokens right before sending, and announce them at admission

Cause: tokens were reserved at admission and held while work waited for its adapter and its turn; level and outstanding together stay within the burst, so that the bucket looked empty: 401 of 705 refused inside the rate, first token p50 4645 ms. Ruled out: lower bounds on the prompt (the bound is what makes overshoot 0); a longer patience (it only moves the refusal). Change: admission announces the likely cost, and is refused where a forecast says that the tokens come too late; the sender reserves the bound right before the send, waits 150 ms at most in its place of the batch, and sends the work back to its entry VM otherwise.

--- a/contract/granter/bucket.go
+++ b/contract/granter/bucket.go
@@ -8,6 +8,12 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/minter"
 )
 
+// announcement is work that waits elsewhere and has no reservation yet.
+type announcement struct {
+	tokens int64
+	until  time.Duration
+}
+
 // bucket is the token bucket of one client account under one lease.
 type bucket struct {
 	name  string
@@ -20,6 +26,9 @@
 	opened  chan struct{}
 	closed  bool
 	waiters map[string]chan bool
+	account fuchsiaspoke.ClientAccount
+	// announced are the tokens that will be reserved later, by request.
+	announced map[string]announcement
 	// consumed is the use already settled of each reservation, since reports carry the sum and may come out of order.
 	consumed map[string]int64
 	timer    *time.Timer
@@ -28,7 +37,7 @@
 func newBucket(name string, fence int64, clock func() time.Duration) *bucket {
 	return &bucket{
 		name: name, fence: fence, clock: clock,
-		opened: make(chan struct{}), waiters: make(map[string]chan bool), consumed: make(map[string]int64),
+		opened: make(chan struct{}), waiters: make(map[string]chan bool), announced: make(map[string]announcement), consumed: make(map[string]int64),
 	}
 }
 
@@ -40,6 +49,7 @@
 	if err := b.minter.Open(now, account, b.fence); err != nil {
 		return err
 	}
+	b.account = account
 	b.minter.Restore(now, credit)
 	for _, use := range running {
 		if err := b.minter.Adopt(now, use.ID, use.Tokens-use.Consumed); err != nil {
@@ -59,6 +69,9 @@
 		return false, nil, notHeld(b.name)
 	}
 	wait, err := b.minter.Reserve(b.clock(), ask.ID, ask.Tokens, ask.Patience)
+	if err == nil && wait == 0 {
+		delete(b.announced, ask.ID)
+	}
 	if err != nil || wait == 0 {
 		return err == nil, nil, err
 	}
@@ -68,6 +81,35 @@
 	return false, later, nil
 }
 
+// announce forecasts when the tokens could be reserved, after all that were announced before, and refuses what comes too late.
+func (b *bucket) announce(ask fuchsiaspoke.TokenAsk) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return notHeld(b.name)
+	}
+	now := b.clock()
+	b.minter.Advance(now)
+	ahead := ask.Likely
+	for id, other := range b.announced {
+		if other.until <= now {
+			delete(b.announced, id)
+			continue
+		}
+		ahead += other.tokens
+	}
+	if ask.Likely > int64(b.account.BurstTokens) {
+		return neverGranted(b.name)
+	}
+	short := float64(ahead - b.minter.Level())
+	wait := time.Duration(short / b.account.RateTokensPerSecond * float64(time.Second))
+	if wait > ask.Patience {
+		return rateExceeded(b.name, wait)
+	}
+	b.announced[ask.ID] = announcement{tokens: ask.Likely, until: now + ask.Patience}
+	return nil
+}
+
 func (b *bucket) cancel(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -82,6 +124,10 @@
 	if b.closed {
 		return
 	}
+	if update.Unsent {
+		delete(b.announced, update.ID)
+		return
+	}
 	now := b.clock()
 	if more := update.Consumed - b.consumed[update.ID]; more > 0 {
 		// An overrun is taken from the level by the minter.
@@ -101,6 +147,7 @@
 	if b.closed || !b.isOpen() {
 		return nil
 	}
+	b.account = account
 	err := b.minter.Change(b.clock(), account)
 	b.advance()
 	return err
--- a/contract/granter/granter.go
+++ b/contract/granter/granter.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -95,11 +94,20 @@
 		return fuchsiaspoke.TokenGrant{}, notHeld(ask.Account)
 	}
 	g.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventGranted, RequestID: requestOf(ask.ID), Account: ask.Account, Tokens: ask.Tokens})
-	return g.Confirm(fuchsiaspoke.TokenGrant{Account: ask.Account, ID: ask.ID, Tokens: ask.Tokens, Fence: b.fence})
+	return g.valid(fuchsiaspoke.TokenGrant{Account: ask.Account, ID: ask.ID, Tokens: ask.Tokens, Fence: b.fence})
 }
 
-// Confirm returns the grant with the time that its lease still lasts.
-func (g *Granter) Confirm(grant fuchsiaspoke.TokenGrant) (fuchsiaspoke.TokenGrant, error) {
+// Announce notes tokens that will be reserved later, or refuses them where they surely come too late.
+func (g *Granter) Announce(ctx context.Context, ask fuchsiaspoke.TokenAsk) error {
+	b, err := g.find(ctx, ask.Account)
+	if err != nil {
+		return err
+	}
+	return b.announce(ask)
+}
+
+// valid fills in how long the lease still lasts that the grant was made under.
+func (g *Granter) valid(grant fuchsiaspoke.TokenGrant) (fuchsiaspoke.TokenGrant, error) {
 	lease, held := g.Held(prefix + grant.Account)
 	if !held || lease.Fence != grant.Fence {
 		return grant, notHeld(grant.Account)
@@ -227,10 +235,7 @@
 	if _, held := g.Held(prefix + ask.Account); !held {
 		return false, nil
 	}
-	return false, &fuchsiaspoke.Refusal{
-		Code: fuchsiaspoke.CodeRateExceeded, Message: "client account " + ask.Account + " is at its rate",
-		Run: fuchsiaspoke.NotRun, Status: http.StatusTooManyRequests, RetryAfter: comeBack,
-	}
+	return false, rateExceeded(ask.Account, comeBack)
 }
 
 // bounded lowers a bound that exceeds the burst where the likely cost does not, since a prompt's tokens are bounded loosely.
@@ -254,17 +259,13 @@
 	return send(grant)
 }
 
-// ServeConfirm answers another VM's last look before a send.
-func (g *Granter) ServeConfirm(_ context.Context, _ string, request frame.Frame, send func(any) error) error {
-	var grant fuchsiaspoke.TokenGrant
-	if err := request.Decode(&grant); err != nil {
-		return err
-	}
-	confirmed, err := g.Confirm(grant)
-	if err != nil {
+// ServeAnnounce takes another VM's announcement.
+func (g *Granter) ServeAnnounce(ctx context.Context, _ string, request frame.Frame, _ func(any) error) error {
+	var ask fuchsiaspoke.TokenAsk
+	if err := request.Decode(&ask); err != nil {
 		return err
 	}
-	return send(confirmed)
+	return g.Announce(ctx, ask)
 }
 
 // ServeUpdate takes another VM's report of use.
@@ -287,13 +288,6 @@
 	return nil
 }
 
-func notHeld(account string) error {
-	return &fuchsiaspoke.Refusal{
-		Code: fuchsiaspoke.CodeLeaseLost, Message: "this VM does not hold the lease of client account " + account,
-		Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable, RetryAfter: comeBack,
-	}
-}
-
 // requestOf returns the request's id, which begins the id of each of its reservations.
 func requestOf(id string) string {
 	request, _, _ := strings.Cut(id, "/")
--- a/contract/spender/spender.go
+++ b/contract/spender/spender.go
@@ -15,8 +15,8 @@
 const (
 	// ReserveMethod names the call that reserves tokens.
 	ReserveMethod = "reserve_tokens"
-	// ConfirmMethod names the call that checks a reservation before sending.
-	ConfirmMethod = "confirm_tokens"
+	// AnnounceMethod names the call that tells of tokens that will be reserved.
+	AnnounceMethod = "announce_tokens"
 	// UpdateMethod names the call that reports use.
 	UpdateMethod = "update_tokens"
 
@@ -34,11 +34,11 @@
 
 type granter interface {
 	Reserve(ctx context.Context, ask fuchsiaspoke.TokenAsk) (fuchsiaspoke.TokenGrant, error)
-	Confirm(grant fuchsiaspoke.TokenGrant) (fuchsiaspoke.TokenGrant, error)
+	Announce(ctx context.Context, ask fuchsiaspoke.TokenAsk) error
 	Update(update fuchsiaspoke.TokenUpdate)
 }
 
-// Spender reserves, confirms and settles tokens.
+// Spender announces, reserves and settles tokens.
 type Spender struct {
 	// Self is this VM's id.
 	Self string
@@ -62,46 +62,59 @@
 	return "account/" + account
 }
 
+// Announce tells of tokens that will be reserved right before the work is sent; it is refused where they surely come too late.
+func (s *Spender) Announce(ctx context.Context, ask fuchsiaspoke.TokenAsk) error {
+	return s.search(ctx, ask, func(ask fuchsiaspoke.TokenAsk) error { return s.announce(ctx, ask) })
+}
+
 // Reserve waits until the tokens are reserved, at most for the ask's patience, and returns the grant and when it ends on this VM's clock.
 func (s *Spender) Reserve(ctx context.Context, ask fuchsiaspoke.TokenAsk) (fuchsiaspoke.TokenGrant, time.Duration, error) {
+	var grant fuchsiaspoke.TokenGrant
+	var until time.Duration
+	err := s.search(ctx, ask, func(ask fuchsiaspoke.TokenAsk) error {
+		began := s.Clock()
+		var err error
+		grant, err = s.reserve(ctx, ask)
+		until = began + grant.Valid
+		return err
+	})
+	if err == nil {
+		s.track(grant)
+	}
+	return grant, until, err
+}
+
+// search asks whoever holds the lease, until there is a final answer or the patience is over.
+func (s *Spender) search(ctx context.Context, ask fuchsiaspoke.TokenAsk, try func(fuchsiaspoke.TokenAsk) error) error {
 	deadline := s.Clock() + ask.Patience
 	for {
-		began := s.Clock()
-		ask.Patience = max(deadline-began, 0)
-		grant, err := s.reserve(ctx, ask)
+		ask.Patience = max(deadline-s.Clock(), 0)
+		err := try(ask)
 		if err == nil {
-			s.track(grant)
-			return grant, began + grant.Valid, nil
+			return nil
 		}
 		if final(err) || s.Clock()+searchInterval > deadline {
-			return fuchsiaspoke.TokenGrant{}, 0, refuse(err)
+			return refuse(err)
 		}
 		select {
 		case <-ctx.Done():
-			return fuchsiaspoke.TokenGrant{}, 0, refuse(err)
+			return refuse(err)
 		case <-time.After(searchInterval):
 		}
 	}
 }
 
-// Confirm returns when the grant ends on this VM's clock, as the lease's holder now says.
-func (s *Spender) Confirm(ctx context.Context, grant fuchsiaspoke.TokenGrant) (time.Duration, error) {
-	began := s.Clock()
-	vm, ok := s.HolderOf(Resource(grant.Account))
+func (s *Spender) announce(ctx context.Context, ask fuchsiaspoke.TokenAsk) error {
+	vm, ok := s.HolderOf(Resource(ask.Account))
 	if !ok {
-		return 0, unavailable(grant.Account)
+		return unavailable(ask.Account)
 	}
 	if vm.ID == s.Self {
-		confirmed, err := s.Local.Confirm(grant)
-		return began + confirmed.Valid, err
+		return s.Local.Announce(ctx, ask)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var confirmed fuchsiaspoke.TokenGrant
-	err := s.Caller.Call(ctx, vm, ConfirmMethod, grant, func(body cbor.RawMessage) error {
-		return cbor.Unmarshal(body, &confirmed)
-	})
-	return began + confirmed.Valid, err
+	return s.Caller.Call(ctx, vm, AnnounceMethod, ask, nil)
 }
 
 // Update reports the use of a reservation; a lost report destroys tokens and never makes them.
--- a/generation.go
+++ b/generation.go
@@ -23,12 +23,18 @@
 	Patience time.Duration `cbor:"10,keyasint"`
 	// KeyHash names the key, so that a withdrawal reaches queued and running work; it is empty on open profiles.
 	KeyHash string `cbor:"11,keyasint,omitempty"`
-	// Grant is the token reservation, confirmed again right before sending.
-	Grant TokenGrant `cbor:"12,keyasint"`
 	// Fence is the fencing number of the lease that the generation is sent under; it is zero until then.
 	Fence int64 `cbor:"13,keyasint,omitempty"`
 }
 
+// likelyBytesPerToken turns the bound on a prompt's tokens into their likely number.
+const likelyBytesPerToken = 4
+
+// LikelyTokens is what the generation will likely take from its client account's rate.
+func (g Generation) LikelyTokens() int64 {
+	return g.PromptTokens/likelyBytesPerToken + g.MaxOutputTokens
+}
+
 // CostTokens is the bound on what the generation takes from its client account's rate.
 func (g Generation) CostTokens() int64 {
 	return g.PromptTokens + g.MaxOutputTokens
@@ -71,3 +77,9 @@
 	Adapter  Adapter `json:"adapter" cbor:"1,keyasint"`
 	Requests int64   `json:"requests" cbor:"2,keyasint"`
 }
+
+// Placement is a generation on its way to the VM that holds an engine's lease.
+type Placement struct {
+	Upstream   string     `cbor:"1,keyasint"`
+	Generation Generation `cbor:"2,keyasint"`
+}
--- a/refusal.go
+++ b/refusal.go
@@ -25,6 +25,7 @@
 	CodeNoProfile           Code = "profile_not_found"
 	CodeNoRoute             Code = "route_not_found"
 	CodeRateExceeded        Code = "rate_exceeded"
+	CodeTokensShort         Code = "tokens_short"
 	CodeOverloaded          Code = "overloaded"
 	CodeNoUpstream          Code = "no_upstream"
 	CodeLeaseLost           Code = "lease_lost"
--- a/tokens.go
+++ b/tokens.go
@@ -34,6 +34,8 @@
 	Consumed int64 `cbor:"4,keyasint"`
 	// Finished returns what was not used.
 	Finished bool `cbor:"5,keyasint,omitempty"`
+	// Unsent takes back what was announced and never reserved.
+	Unsent bool `cbor:"6,keyasint,omitempty"`
 }
 
 // TokenUse is a reservation that a VM made and has not finished.
--- a/upstream/manager/manager.go
+++ b/upstream/manager/manager.go
@@ -13,15 +13,16 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/dispatcher"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/driver"
-	"github.com/fuchsiaspoke/fuchsiaspoke/vm/router"
 	"k8s.io/klog/v2"
 )
 
 const (
 	// prefix begins the name of an engine's lease.
 	prefix = "engine/"
-	// confirmTimeout bounds the last look at a token reservation before a send.
-	confirmTimeout = time.Second
+	// tokenPatience is how long a place in the batch waits for its client account's tokens.
+	tokenPatience = 150 * time.Millisecond
+	// reserveTimeout bounds the whole reservation before a send.
+	reserveTimeout = time.Second
 	// drainTimeout bounds the wait for running generations before a lease is handed over.
 	drainTimeout = time.Minute
 	// drainInterval is how often a draining dispatcher is looked at.
@@ -30,8 +31,9 @@
 	comeBack = time.Second
 )
 
-type confirmer interface {
-	Confirm(ctx context.Context, grant fuchsiaspoke.TokenGrant) (time.Duration, error)
+type spender interface {
+	Reserve(ctx context.Context, ask fuchsiaspoke.TokenAsk) (fuchsiaspoke.TokenGrant, time.Duration, error)
+	Update(ctx context.Context, update fuchsiaspoke.TokenUpdate) error
 }
 
 type permits interface {
@@ -50,8 +52,8 @@
 	Held func(resource string) (fuchsiaspoke.Lease, bool)
 	// Authorize is the last look at the key and the profile before a send.
 	Authorize func(keyHash, profile string) error
-	// Confirmer is the last look at the token reservation before a send.
-	Confirmer confirmer
+	// Spender reserves the tokens right before a send.
+	Spender spender
 	// Permits is the budget of adapter loads over all VMs.
 	Permits permits
 	// Recorder takes the time line's events.
@@ -63,6 +65,7 @@
 
 	mu      sync.Mutex
 	running map[string]*duty
+	grants  map[string]fuchsiaspoke.TokenGrant
 	life    context.Context
 	wg      sync.WaitGroup
 }
@@ -110,16 +113,16 @@
 	if _, held := m.Held(Resource(upstream)); d == nil || !held {
 		return notHeld(upstream)
 	}
-	return d.dispatcher.Submit(ctx, g, sink)
+	return m.submit(ctx, d, g, sink)
 }
 
 // Serve answers another VM that passes a generation here.
 func (m *Manager) Serve(ctx context.Context, _ string, request frame.Frame, send func(any) error) error {
-	var envelope router.Envelope
-	if err := request.Decode(&envelope); err != nil {
+	var placement fuchsiaspoke.Placement
+	if err := request.Decode(&placement); err != nil {
 		return err
 	}
-	return m.Submit(ctx, envelope.Upstream, envelope.Generation, func(chunk fuchsiaspoke.Chunk) error { return send(chunk) })
+	return m.Submit(ctx, placement.Upstream, placement.Generation, func(chunk fuchsiaspoke.Chunk) error { return send(chunk) })
 }
 
 // States tells what the other VMs need to know of the engines that take work here.
@@ -240,30 +243,6 @@
 	}
 }
 
-// check is the last look before a generation is sent: the key, the profile, and the token reservation.
-func (m *Manager) check(g fuchsiaspoke.Generation) error {
-	if err := m.Authorize(g.KeyHash, g.Profile); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
-	defer cancel()
-	until, err := m.Confirmer.Confirm(ctx, g.Grant)
-	if err != nil {
-		return reservationLost(err.Error())
-	}
-	if m.Clock() >= until {
-		return reservationLost("its lease ended")
-	}
-	return nil
-}
-
-func reservationLost(detail string) error {
-	return &fuchsiaspoke.Refusal{
-		Code: fuchsiaspoke.CodeLeaseLost, Message: "the token reservation could not be confirmed before sending: " + detail,
-		Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable, RetryAfter: comeBack,
-	}
-}
-
 func notHeld(upstream string) error {
 	return &fuchsiaspoke.Refusal{
 		Code: fuchsiaspoke.CodeLeaseLost, Message: "this VM does not hold the lease of upstream " + upstream,
--- a/vm/admitter/admitter.go
+++ b/vm/admitter/admitter.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -17,18 +16,16 @@
 const (
 	// patience is how long a request may wait for tokens and for its turn.
 	patience = 10 * time.Second
-	// settleTokens is the use of a reservation after which it is reported.
-	settleTokens = 64
-	// settleTimeout bounds the report at the end of a request.
+	// settleTimeout bounds the report that a request was never sent.
 	settleTimeout = 2 * time.Second
-	// maxReservations bounds the reservations of one request whose leases move under it.
-	maxReservations = 3
-	// likelyBytesPerToken turns the bound on a prompt's tokens into their likely number.
-	likelyBytesPerToken = 4
+	// minWait is the shortest pause before a generation is delivered again.
+	minWait = 50 * time.Millisecond
+	// maxWait is the longest such pause.
+	maxWait = 500 * time.Millisecond
 )
 
 type spender interface {
-	Reserve(ctx context.Context, ask fuchsiaspoke.TokenAsk) (fuchsiaspoke.TokenGrant, time.Duration, error)
+	Announce(ctx context.Context, ask fuchsiaspoke.TokenAsk) error
 	Update(ctx context.Context, update fuchsiaspoke.TokenUpdate) error
 }
 
@@ -44,7 +41,7 @@
 type Admitter struct {
 	// Catalog returns the documents in force.
 	Catalog func() catalog.Catalog
-	// Spender reserves tokens.
+	// Spender announces the tokens that a request will take.
 	Spender spender
 	// Router passes generations on.
 	Router router
@@ -113,59 +110,46 @@
 	ctx, end := a.begin(ctx, g.RequestID, g.KeyHash, g.Profile)
 	defer end()
 	a.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventAdmitted, RequestID: g.RequestID, Account: account, Tokens: g.CostTokens()})
-	deadline := time.Now().Add(patience)
-	for attempt := 0; ; attempt++ {
-		g.Patience = time.Until(deadline)
-		err := a.attempt(ctx, *g, attempt, sink)
-		if !leaseMoved(err) || attempt == maxReservations || time.Now().After(deadline) {
-			return cause(ctx, err)
-		}
+	if err := a.Spender.Announce(ctx, fuchsiaspoke.TokenAsk{
+		Account: account, ID: g.RequestID, Likely: g.LikelyTokens(), Patience: patience,
+	}); err != nil {
+		return cause(ctx, err)
 	}
-}
-
-// attempt reserves the generation's tokens and delivers it; a lease that moved in between voids the reservation.
-func (a *Admitter) attempt(ctx context.Context, g fuchsiaspoke.Generation, attempt int, sink func(fuchsiaspoke.Chunk) error) error {
+	sent := false
+	defer func() {
+		if !sent {
+			go a.takeBack(account, g.RequestID)
+		}
+	}()
 	began := time.Now()
-	grant, _, err := a.Spender.Reserve(ctx, fuchsiaspoke.TokenAsk{
-		Account:  g.Account,
-		ID:       g.RequestID + "/" + strconv.Itoa(attempt),
-		Tokens:   g.CostTokens(),
-		Likely:   g.PromptTokens/likelyBytesPerToken + g.MaxOutputTokens,
-		Patience: g.Patience,
-	})
-	if err != nil {
-		return err
-	}
-	g.Grant = grant
-	g.Patience -= time.Since(began)
-	return a.deliver(ctx, g, sink)
+	return cause(ctx, a.deliver(ctx, *g, func(chunk fuchsiaspoke.Chunk) error {
+		if !sent && a.Waited != nil {
+			a.Waited(account, time.Since(began))
+		}
+		sent = true
+		return sink(chunk)
+	}))
 }
 
+// deliver passes the generation on until it ran or its patience is over; while tokens or leases are missing it waits here.
 func (a *Admitter) deliver(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
-	use := fuchsiaspoke.TokenUpdate{Account: g.Account, ID: g.Grant.ID, Fence: g.Grant.Fence}
-	prompt, output, reported := g.PromptTokens, int64(0), int64(0)
-	began := time.Now()
-	err := a.Router.Deliver(ctx, g, func(chunk fuchsiaspoke.Chunk) error {
-		if chunk.Index == 0 && a.Waited != nil {
-			a.Waited(g.Account, time.Since(began))
+	deadline := time.Now().Add(patience)
+	for {
+		g.Patience = time.Until(deadline)
+		err := a.Router.Deliver(ctx, g, sink)
+		wait, again := comeAgain(err)
+		if !again {
+			return err
 		}
-		if chunk.PromptTokens > 0 {
-			prompt = chunk.PromptTokens
+		if time.Now().Add(wait).After(deadline) {
+			return final(err)
 		}
-		output += chunk.Tokens
-		use.Consumed = prompt + output
-		if use.Consumed-reported >= settleTokens {
-			reported = use.Consumed
-			go a.report(context.WithoutCancel(ctx), use)
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(wait):
 		}
-		return sink(chunk)
-	})
-	if err != nil && !notRun(err) {
-		use.Consumed = g.Grant.Tokens
 	}
-	use.Finished = true
-	go a.report(context.WithoutCancel(ctx), use)
-	return err
 }
 
 func (a *Admitter) call(ctx context.Context, call *fuchsiaspoke.Call) (fuchsiaspoke.Reply, error) {
@@ -209,10 +193,11 @@
 	}
 }
 
-func (a *Admitter) report(ctx context.Context, use fuchsiaspoke.TokenUpdate) {
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+// takeBack ends the announcement of a generation that was never sent.
+func (a *Admitter) takeBack(account, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
-	_ = a.Spender.Update(ctx, use)
+	_ = a.Spender.Update(ctx, fuchsiaspoke.TokenUpdate{Account: account, ID: id, Unsent: true})
 }
 
 func (a *Admitter) recordEnd(id, account string, err error) {
@@ -258,10 +243,30 @@
 	return errors.As(err, &refusal) && refusal.Run == fuchsiaspoke.NotRun
 }
 
-// leaseMoved reports whether a generation was refused, surely not run, because a lease went to another VM.
-func leaseMoved(err error) bool {
+// comeAgain reports whether a generation that surely did not run may be delivered again, and when.
+func comeAgain(err error) (time.Duration, bool) {
 	var refusal *fuchsiaspoke.Refusal
-	return errors.As(err, &refusal) && refusal.Run == fuchsiaspoke.NotRun && refusal.Code == fuchsiaspoke.CodeLeaseLost
+	if !errors.As(err, &refusal) || refusal.Run != fuchsiaspoke.NotRun {
+		return 0, false
+	}
+	switch refusal.Code {
+	case fuchsiaspoke.CodeTokensShort:
+		return min(max(refusal.RetryAfter, minWait), maxWait), true
+	case fuchsiaspoke.CodeLeaseLost:
+		return minWait, true
+	}
+	return 0, false
+}
+
+// final turns a refusal that was still worth waiting for into the caller's answer.
+func final(err error) error {
+	var refusal *fuchsiaspoke.Refusal
+	if !errors.As(err, &refusal) || refusal.Code != fuchsiaspoke.CodeTokensShort {
+		return err
+	}
+	exceeded := *refusal
+	exceeded.Code = fuchsiaspoke.CodeRateExceeded
+	return &exceeded
 }
 
 func invalid(message string) error {
--- a/vm/router/router.go
+++ b/vm/router/router.go
@@ -58,12 +58,6 @@
 	Budget budget
 }
 
-// Envelope is one generation on its way to an engine's queue.
-type Envelope struct {
-	Upstream   string                  `cbor:"1,keyasint"`
-	Generation fuchsiaspoke.Generation `cbor:"2,keyasint"`
-}
-
 type candidate struct {
 	upstream fuchsiaspoke.Upstream
 	holder   fuchsiaspoke.VM
@@ -99,7 +93,7 @@
 		}
 		last = err
 		attempt++
-		if !notRun(err) || !r.Budget.Take() {
+		if !elsewhere(err) || !r.Budget.Take() {
 			return err
 		}
 	}
@@ -110,7 +104,7 @@
 	if to.holder.ID == r.Self {
 		return r.Local.Submit(ctx, to.upstream.ID, g, sink)
 	}
-	err := r.Caller.Call(ctx, to.holder, Method, Envelope{Upstream: to.upstream.ID, Generation: g}, func(body cbor.RawMessage) error {
+	err := r.Caller.Call(ctx, to.holder, Method, fuchsiaspoke.Placement{Upstream: to.upstream.ID, Generation: g}, func(body cbor.RawMessage) error {
 		var chunk fuchsiaspoke.Chunk
 		if err := cbor.Unmarshal(body, &chunk); err != nil {
 			return errors.Wrap(err, "decode part of answer")
@@ -195,9 +189,18 @@
 	}
 }
 
-func notRun(err error) bool {
+// elsewhere reports whether another replica may answer differently what surely did not run.
+func elsewhere(err error) bool {
 	var refusal *fuchsiaspoke.Refusal
-	return errors.As(err, &refusal) && refusal.Run == fuchsiaspoke.NotRun
+	if !errors.As(err, &refusal) || refusal.Run != fuchsiaspoke.NotRun {
+		return false
+	}
+	switch refusal.Code {
+	case fuchsiaspoke.CodeTokensShort, fuchsiaspoke.CodeKeyWithdrawn, fuchsiaspoke.CodeForbidden,
+		fuchsiaspoke.CodeUnauthenticated, fuchsiaspoke.CodeNoProfile:
+		return false
+	}
+	return true
 }
 
 func mismatch(want, got string) error {
--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -357,7 +357,7 @@
 		Upstreams: func() []fuchsiaspoke.Upstream { return n.relayer.Catalog().Upstreams() },
 		Held:      n.holder.Held,
 		Authorize: n.check,
-		Confirmer: n.spender,
+		Spender:   n.spender,
 		Permits:   &permitter.Permitter{Spender: n.spender},
 		Recorder:  n.recorder,
 		Violated:  func(detail string) { n.asserter.Assert(false, "dispatcher", detail) },
@@ -373,7 +373,7 @@
 	}
 	n.acceptor.Handle(router.Method, n.manager.Serve)
 	n.acceptor.Handle(spender.ReserveMethod, n.granter.ServeReserve)
-	n.acceptor.Handle(spender.ConfirmMethod, n.granter.ServeConfirm)
+	n.acceptor.Handle(spender.AnnounceMethod, n.granter.ServeAnnounce)
 	n.acceptor.Handle(spender.UpdateMethod, n.granter.ServeUpdate)
 	n.acceptor.Handle(spender.UsesMethod, n.spender.ServeUses)
 	n.acceptor.Handle(spender.HandoverMethod, n.granter.ServeHandover)
