Place generations on replicas by adapter, demand and queue

Cause: an entry VM must pick a replica so that few loads are needed and no queue grows; the slot table's scores were wanted here too. Change: upstream/scorer (decayed use, taken out of slotter), upstream/placer, UpstreamState at the root (additive).

--- a/upstream.go
+++ b/upstream.go
@@ -27,3 +27,13 @@
 	ChecksFence bool `json:"checks_fence,omitempty"`
 	Leaving     bool `json:"leaving,omitempty"`
 }
+
+// UpstreamState is an upstream with the load that its lease holder advertises, which may be late.
+type UpstreamState struct {
+	Upstream Upstream
+	// QueuedTokens is the bound on the tokens of waiting requests.
+	QueuedTokens int64
+	Running      int
+	// Resident lists the adapters that are ready for use.
+	Resident []Adapter
+}
--- a/upstream/dispatcher/loading.go
+++ b/upstream/dispatcher/loading.go
@@ -138,7 +138,7 @@
 	if n.evict {
 		d.slots.StartUnload(n.victim)
 	} else {
-		d.slots.StartLoad(now, n.adapter)
+		d.slots.StartLoad(n.adapter)
 	}
 	d.loader.loads++
 	o := order{
@@ -239,7 +239,7 @@
 		o.end(d)
 		return
 	}
-	d.slots.StartLoad(now, o.adapter)
+	d.slots.StartLoad(o.adapter)
 	d.spawn(o.load(d))
 }
 
@@ -256,7 +256,7 @@
 	if o.number != d.tenure.number || d.workers.Err() != nil {
 		return
 	}
-	d.slots.EndLoad(now, o.adapter, m.taken, m.err == nil)
+	d.slots.EndLoad(o.adapter, m.taken, m.err == nil)
 	if m.err == nil {
 		delete(d.loader.failures, o.adapter)
 		d.record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventLoaded, Detail: adapterDetail(o.adapter)})
--- a/upstream/dispatcher/message.go
+++ b/upstream/dispatcher/message.go
@@ -92,7 +92,7 @@
 	}
 	d.chargeTask(t)
 	delete(d.running, t)
-	d.slots.Done(now, g.Adapter)
+	d.slots.Done(g.Adapter)
 	d.queue.Finish(g.Account)
 	if m.outcome.mayRun {
 		d.slots.Hold(now, g.Adapter)
--- a/upstream/slotter/slotter.go
+++ b/upstream/slotter/slotter.go
@@ -7,19 +7,14 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/scorer"
 )
 
 const (
-	// scoreHalfLife is the time after which a use counts half in an adapter's score.
-	scoreHalfLife = 60 * time.Second
 	// adoptAfter is how long a late report may still show an adapter that was unloaded.
 	adoptAfter = 30 * time.Second
 	// clockDrift is the bound on how much faster an engine's clock runs than the process's.
 	clockDrift = 0.01
-	// maxScores is how many adapters' scores are remembered.
-	maxScores = 8192
-	// minScore is the score below which an adapter is forgotten when there are too many.
-	minScore = 0.05
 )
 
 type state int
@@ -38,22 +33,14 @@
 	// held slots count as in use until a report later than heldAsOf shows the adapter not running.
 	held      bool
 	heldAsOf  int64
-	lastUse   time.Duration
 	loadTaken time.Duration
 }
 
-// score is an adapter's use with exponential decay.
-type score struct {
-	value float64
-	at    time.Duration
-}
-
 // Slotter is the table of one engine's adapter slots; two versions of one adapter are two adapters.
 //
 // An adapter is in use while a request counted by Use has not been counted by Done, and while it is held. A takeover
 // holds every adapter that the engine reports, since the holder before may still run requests on it. Victims are
-// picked by recency and frequency together, after Lee et al., LRFU, IEEE Transactions on Computers 50(12), 2001,
-// weighted by what the adapter's reload costs. It is not safe for concurrent use; its zero value has no slots.
+// picked by a Scorer's recency and frequency together, weighted by what the adapter's reload costs. It is not safe for concurrent use; its zero value has no slots.
 type Slotter struct {
 	// Slots is the number of adapters that the engine holds.
 	Slots int
@@ -63,7 +50,7 @@
 	violations  int
 	slots       map[fuchsiaspoke.Adapter]*slot
 	uses        map[fuchsiaspoke.Adapter]int
-	scores      map[fuchsiaspoke.Adapter]score
+	scores      scorer.Scorer
 	unloadedAt  map[fuchsiaspoke.Adapter]time.Duration
 	incarnation string
 	past        []string
@@ -133,14 +120,11 @@
 		s.violate(fmt.Sprintf("use of adapter %s@%d that is not ready", a.Name, a.Version))
 	}
 	s.uses[a]++
-	s.remember(now, a)
-	if t := s.slots[a]; t != nil {
-		t.lastUse = now
-	}
+	s.scores.Add(now, a, 1)
 }
 
 // Done counts one request on the adapter as ended.
-func (s *Slotter) Done(now time.Duration, a fuchsiaspoke.Adapter) {
+func (s *Slotter) Done(a fuchsiaspoke.Adapter) {
 	if s.uses[a] == 0 {
 		s.violate(fmt.Sprintf("end of a request on adapter %s@%d that none uses", a.Name, a.Version))
 		return
@@ -148,9 +132,6 @@
 	if s.uses[a]--; s.uses[a] == 0 {
 		delete(s.uses, a)
 	}
-	if t := s.slots[a]; t != nil {
-		t.lastUse = now
-	}
 }
 
 // Hold keeps the adapter in use until a report from after now shows it not running, as when a request's end is unknown.
@@ -164,17 +145,17 @@
 }
 
 // StartLoad gives the adapter a slot; the caller sends the order.
-func (s *Slotter) StartLoad(now time.Duration, a fuchsiaspoke.Adapter) {
+func (s *Slotter) StartLoad(a fuchsiaspoke.Adapter) {
 	s.init()
 	if s.slots[a] != nil || s.Free() == 0 {
 		s.violate(fmt.Sprintf("load of adapter %s@%d without a free slot", a.Name, a.Version))
 		return
 	}
-	s.slots[a] = &slot{state: loading, lastUse: now}
+	s.slots[a] = &slot{state: loading}
 }
 
 // EndLoad tells how the order ended and how long it took; an adapter that no longer loads is left as it is.
-func (s *Slotter) EndLoad(now time.Duration, a fuchsiaspoke.Adapter, taken time.Duration, ok bool) {
+func (s *Slotter) EndLoad(a fuchsiaspoke.Adapter, taken time.Duration, ok bool) {
 	t := s.slots[a]
 	if t == nil || t.state != loading {
 		return
@@ -184,7 +165,6 @@
 		return
 	}
 	t.state = resident
-	t.lastUse = now
 	t.loadTaken = taken
 }
 
@@ -277,7 +257,7 @@
 		s.foreign += use.Requests
 	}
 	for _, a := range report.Resident {
-		s.slots[a] = &slot{state: resident, held: true, heldAsOf: report.AsOfMillis, lastUse: claimedAt}
+		s.slots[a] = &slot{state: resident, held: true, heldAsOf: report.AsOfMillis}
 	}
 }
 
@@ -358,7 +338,7 @@
 		if s.slots[a] != nil || unloaded && now-at < adoptAfter {
 			continue
 		}
-		s.slots[a] = &slot{state: resident, held: true, heldAsOf: s.engineMillis(now), lastUse: now}
+		s.slots[a] = &slot{state: resident, held: true, heldAsOf: s.engineMillis(now)}
 	}
 	for a, at := range s.unloadedAt {
 		if now-at >= adoptAfter {
@@ -386,7 +366,6 @@
 	}
 	s.slots = make(map[fuchsiaspoke.Adapter]*slot)
 	s.uses = make(map[fuchsiaspoke.Adapter]int)
-	s.scores = make(map[fuchsiaspoke.Adapter]score)
 	s.unloadedAt = make(map[fuchsiaspoke.Adapter]time.Duration)
 }
 
