Let the baselines' resident adapters pass a load, and plot first tokens on a logarithmic axis

Cause: the baseline held one lock through each load, so requests for resident adapters waited and the system looked better than it is; in the plot the legend hid the title and the tail hid the rest. Ruled out: evicting without a look at the engine's report, which no one would run. Change: bench/baseline locks loads apart from uses; bench/reporter's axes. The plots were looked at as PNG.

--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -15,6 +15,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,8 @@
 // replica is one engine as this VM knows it.
 type replica struct {
 	driver *driver.Driver
+	// loading is held through a load, so that requests for resident adapters pass it.
+	loading sync.Mutex
 
 	mu     sync.Mutex
 	used   map[fuchsiaspoke.Adapter]time.Time
@@ -263,36 +266,56 @@
 	return err
 }
 
-// load loads the adapter unless this VM believes it resident, and evicts what it used longest ago where slots are full.
+// load loads the adapter unless this VM believes it resident.
 func (e *replica) load(ctx context.Context, adapter fuchsiaspoke.Adapter) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.used[adapter] = time.Now()
-	if e.loaded[adapter] {
+	if e.use(adapter) {
+		return nil
+	}
+	e.loading.Lock()
+	defer e.loading.Unlock()
+	if e.use(adapter) {
 		return nil
 	}
 	err := e.driver.Load(ctx, adapter, 0)
 	if err != nil {
-		report, failed := e.driver.Report(ctx)
-		if failed != nil || len(report.Resident) == 0 {
-			return err
-		}
-		oldest := report.Resident[0]
-		for _, resident := range report.Resident {
-			if e.used[resident].Before(e.used[oldest]) {
-				oldest = resident
-			}
-		}
-		delete(e.loaded, oldest)
-		if err := e.driver.Unload(ctx, oldest, 0); err != nil {
+		if err := e.evict(ctx); err != nil {
 			return err
 		}
 		err = e.driver.Load(ctx, adapter, 0)
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.loaded[adapter] = err == nil
 	return err
 }
 
+// use notes the use of an adapter and reports whether this VM believes it resident.
+func (e *replica) use(adapter fuchsiaspoke.Adapter) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.used[adapter] = time.Now()
+	return e.loaded[adapter]
+}
+
+// evict unloads, of the adapters that the engine's report shows unused, the one that this VM used longest ago.
+func (e *replica) evict(ctx context.Context) error {
+	report, err := e.driver.Report(ctx)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	var oldest fuchsiaspoke.Adapter
+	for _, resident := range report.Resident {
+		inUse := slices.ContainsFunc(report.Running, func(u fuchsiaspoke.AdapterUse) bool { return u.Adapter == resident })
+		if !inUse && (oldest.Name == "" || e.used[resident].Before(e.used[oldest])) {
+			oldest = resident
+		}
+	}
+	delete(e.loaded, oldest)
+	e.mu.Unlock()
+	return e.driver.Unload(ctx, oldest, 0)
+}
+
 // call passes one call on, once, to the services in turn.
 func (m *vm) call(c echo.Context) error {
 	account := m.buckets[m.account(c.Request())]
--- a/bench/reporter/reporter.go
+++ b/bench/reporter/reporter.go
@@ -119,10 +119,10 @@
 // FirstTokenSVG plots the first-token time by percentile, one line a run.
 func (r Reporter) FirstTokenSVG(w io.Writer) error {
 	graph := chart.Chart{
-		Title: "First token", Width: plotWidth, Height: plotHeight,
+		Width: plotWidth, Height: plotHeight,
 		Background: chart.Style{Padding: chart.Box{Top: 50, Left: 20, Right: 20, Bottom: 20}},
-		XAxis:      chart.XAxis{Name: "percent of generations"},
-		YAxis:      chart.YAxis{Name: "milliseconds from the intended start"},
+		XAxis:      chart.XAxis{Name: "percent of generations", ValueFormatter: whole},
+		YAxis:      chart.YAxis{Name: "first token, ms from the intended start", ValueFormatter: whole, Range: &chart.LogarithmicRange{}},
 	}
 	for _, s := range r.Runs {
 		series := chart.ContinuousSeries{Name: label(s), YValues: s.FirstToken.Curve}
@@ -153,10 +153,16 @@
 		}
 	}
 	graph.Width = max(plotWidth, 2*barWidth*len(graph.Bars))
+	graph.YAxis.ValueFormatter = whole
 	graph.YAxis.Range = &chart.ContinuousRange{Min: 0, Max: max(1, highest*1.1)}
 	return errors.Wrap(graph.Render(chart.SVG, w), "plot the waits")
 }
 
+// whole formats the numbers of an axis.
+func whole(v any) string {
+	return fmt.Sprintf("%.0f", v)
+}
+
 func label(s summary.Summary) string {
 	if s.Variant == "" {
 		return s.Scenario
