Say not_run of withdrawn work only where its holder said so

Cause: the admitter ended a request with a *Refusal that says not_run as the cause of its context; the dialer and the driver return that cause, so it was taken for the word of a peer or an engine. A payment already sent to its service was answered key_withdrawn, not_run, and ran. The manager never told its dispatchers of withdrawn keys, so that queued work was ended by the entry VM alone, which cannot know. Ruled out: a late payment (its service had it before the withdrawal). Change: the cause of the context has no Unwrap; the holder of an engine refuses queued work of a withdrawn key itself, as not run; the entry VM waits 1 s for that word; the router does not try another replica after 401 or 403.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -72,9 +72,11 @@
 	vm     fuchsiaspoke.VM
 	listen string
 	admin  string
-	cmd    *exec.Cmd
-	log    *bytes.Buffer
-	exited chan error
+	// platform is the VM's own path to the platform.
+	platform *gate
+	cmd      *exec.Cmd
+	log      *bytes.Buffer
+	exited   chan error
 }
 
 type shape struct {
@@ -113,8 +115,15 @@
 	f := &fleet{t: t, world: world, links: newCutter()}
 	t.Cleanup(f.links.close)
 	f.publish(s)
+	// Gates come first: they must not take a port that a machine was given.
+	gates := make([]*gate, s.vms)
+	for i := range gates {
+		gates[i] = newGate(t, world.Address())
+	}
 	for i := range s.vms {
-		f.vms = append(f.vms, f.newMachine(fmt.Sprintf("vm_%d", i), zones[i%len(zones)]))
+		m := f.newMachine(fmt.Sprintf("vm_%d", i), zones[i%len(zones)])
+		m.platform = gates[i]
+		f.vms = append(f.vms, m)
 	}
 	f.publishVMs()
 	for _, m := range f.vms {
@@ -177,7 +186,7 @@
 	m.cmd = exec.Command(program, "serve",
 		"--vm-id", m.vm.ID, "--availability-zone", string(m.vm.Zone),
 		"--caller-address", m.vm.CallerAddress, "--link-address", m.vm.LinkAddress, "--link-listen", m.listen,
-		"--admin-address", m.admin, "--platform-url", "http://"+f.world.Address())
+		"--admin-address", m.admin, "--platform-url", "http://"+m.platform.address())
 	m.cmd.Env = append(os.Environ(), "FUCHSIASPOKE_FLEET_KEY="+fleetKey, "FUCHSIASPOKE_INVARIANTS=stop")
 	m.cmd.Stdout = m.log
 	m.cmd.Stderr = m.log
--- a/upstream/manager/manager.go
+++ b/upstream/manager/manager.go
@@ -14,6 +14,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/dispatcher"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/driver"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/router"
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 )
 
@@ -63,6 +64,7 @@
 
 	mu      sync.Mutex
 	running map[string]*duty
+	work    map[string]work
 	life    context.Context
 	wg      sync.WaitGroup
 }
@@ -73,6 +75,13 @@
 	draining   bool
 }
 
+// work is a generation that waits or runs here.
+type work struct {
+	dispatcher *dispatcher.Dispatcher
+	keyHash    string
+	profile    string
+}
+
 // Resource is the name of an engine's lease.
 func Resource(upstream string) string {
 	return prefix + upstream
@@ -110,9 +119,29 @@
 	if _, held := m.Held(Resource(upstream)); d == nil || !held {
 		return notHeld(upstream)
 	}
+	m.begin(g.RequestID, work{dispatcher: d.dispatcher, keyHash: g.KeyHash, profile: g.Profile})
+	defer m.finish(g.RequestID)
+	if err := m.Authorize(g.KeyHash, g.Profile); err != nil {
+		return err
+	}
 	return d.dispatcher.Submit(ctx, g, sink)
 }
 
+func (m *Manager) begin(id string, w work) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.work == nil {
+		m.work = make(map[string]work)
+	}
+	m.work[id] = w
+}
+
+func (m *Manager) finish(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.work, id)
+}
+
 // Serve answers another VM that passes a generation here.
 func (m *Manager) Serve(ctx context.Context, _ string, request frame.Frame, send func(any) error) error {
 	var envelope router.Envelope
@@ -157,6 +186,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.withdrawKeys()
 	for id, d := range m.running {
 		gone, known := leaving[id]
 		if known && !gone || d.draining {
@@ -167,6 +197,27 @@
 	}
 }
 
+// withdrawKeys ends the work whose key does not count any more; mu is held.
+func (m *Manager) withdrawKeys() {
+	type ended struct {
+		dispatcher *dispatcher.Dispatcher
+		keyHash    string
+	}
+	told := make(map[ended]bool)
+	for _, w := range m.work {
+		one := ended{w.dispatcher, w.keyHash}
+		var refusal *fuchsiaspoke.Refusal
+		if w.keyHash == "" || told[one] || !errors.As(m.Authorize(w.keyHash, w.profile), &refusal) {
+			continue
+		}
+		// A profile that is gone or closed to the account says nothing of the key's other work.
+		if refusal.Status == http.StatusUnauthorized {
+			told[one] = true
+			w.dispatcher.Withdraw(w.keyHash)
+		}
+	}
+}
+
 // Drain ends the work under an engine's lease in order: nothing new is taken, and what runs may end.
 func (m *Manager) Drain(ctx context.Context, resource string) {
 	id, ok := strings.CutPrefix(resource, prefix)
--- a/vm/admitter/admitter.go
+++ b/vm/admitter/admitter.go
@@ -25,6 +25,9 @@
 	maxReservations = 3
 	// likelyBytesPerToken turns the bound on a prompt's tokens into their likely number.
 	likelyBytesPerToken = 4
+	// endGrace is how long a request without a part of its answer waits, once it may not go on, for the word of the VM
+	// that holds it on whether it ran.
+	endGrace = time.Second
 )
 
 type spender interface {
@@ -56,15 +59,25 @@
 	Waited func(account string, wait time.Duration)
 
 	mu     sync.Mutex
-	active map[string]active
+	active map[string]*active
 }
 
 type active struct {
 	keyHash string
 	profile string
 	cancel  context.CancelCauseFunc
+	// answering says that a part of the answer came.
+	answering bool
+	// reason is why the request may not go on; nil while it may.
+	reason error
 }
 
+// ended is why a request was ended from within. It has no Unwrap, so that no step that returns the cause of its context
+// passes this VM's word for an answer of a peer or an upstream, whose not_run it would say falsely.
+type ended struct{ reason error }
+
+func (e ended) Error() string { return e.reason.Error() }
+
 // Generate authorizes the generation by its key hash, fills in what the profile fixes, and hands each part of the answer to sink.
 func (a *Admitter) Generate(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
 	err := a.generate(ctx, &g, sink)
@@ -84,9 +97,30 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, request := range a.active {
-		if _, _, err := (authenticator.Authenticator{}).Authorize(c, request.keyHash, request.profile); err != nil {
-			request.cancel(err)
+		_, _, err := authenticator.Authenticator{}.Authorize(c, request.keyHash, request.profile)
+		if err == nil || request.reason != nil {
+			continue
+		}
+		request.reason = ended{err}
+		if request.answering {
+			request.cancel(request.reason)
+			continue
 		}
+		time.AfterFunc(endGrace, func() { request.cancel(request.reason) })
+	}
+}
+
+// answering notes the first part of a request's answer, and ends the request if it may not go on.
+func (a *Admitter) answering(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	request := a.active[id]
+	if request == nil {
+		return
+	}
+	request.answering = true
+	if request.reason != nil {
+		request.cancel(request.reason)
 	}
 }
 
@@ -146,6 +180,9 @@
 	prompt, output, reported := g.PromptTokens, int64(0), int64(0)
 	began := time.Now()
 	err := a.Router.Deliver(ctx, g, func(chunk fuchsiaspoke.Chunk) error {
+		if chunk.Index == 0 {
+			a.answering(g.RequestID)
+		}
 		if chunk.Index == 0 && a.Waited != nil {
 			a.Waited(g.Account, time.Since(began))
 		}
@@ -190,16 +227,16 @@
 	defer end()
 	a.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventAdmitted, RequestID: call.RequestID, Account: account, Tokens: call.CostTokens})
 	reply, err := a.Executor.Execute(ctx, *call)
-	return reply, err
+	return reply, cause(ctx, err)
 }
 
 func (a *Admitter) begin(ctx context.Context, id, keyHash, profile string) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	a.mu.Lock()
 	if a.active == nil {
-		a.active = make(map[string]active)
+		a.active = make(map[string]*active)
 	}
-	a.active[id] = active{keyHash: keyHash, profile: profile, cancel: cancel}
+	a.active[id] = &active{keyHash: keyHash, profile: profile, cancel: cancel}
 	a.mu.Unlock()
 	return ctx, func() {
 		a.mu.Lock()
@@ -230,16 +267,17 @@
 
 // cause prefers the reason for which the request was ended from within.
 func cause(ctx context.Context, err error) error {
+	var end ended
 	var withdrawn *fuchsiaspoke.Refusal
-	if err == nil || !errors.As(context.Cause(ctx), &withdrawn) {
+	if err == nil || !errors.As(context.Cause(ctx), &end) || !errors.As(end.reason, &withdrawn) {
 		return err
 	}
 	if notRun(err) {
 		return withdrawn
 	}
-	ended := *withdrawn
-	ended.Run = fuchsiaspoke.RunUnknown
-	return &ended
+	unknown := *withdrawn
+	unknown.Run = fuchsiaspoke.RunUnknown
+	return &unknown
 }
 
 func boundOutput(asked, allowed int64) int64 {
--- a/vm/router/router.go
+++ b/vm/router/router.go
@@ -99,7 +99,7 @@
 		}
 		last = err
 		attempt++
-		if !notRun(err) || !r.Budget.Take() {
+		if !notRun(err) || denied(err) || !r.Budget.Take() {
 			return err
 		}
 	}
@@ -200,6 +200,12 @@
 	return errors.As(err, &refusal) && refusal.Run == fuchsiaspoke.NotRun
 }
 
+// denied reports whether every other replica would refuse the caller alike.
+func denied(err error) bool {
+	var refusal *fuchsiaspoke.Refusal
+	return errors.As(err, &refusal) && (refusal.Status == http.StatusUnauthorized || refusal.Status == http.StatusForbidden)
+}
+
 func mismatch(want, got string) error {
 	return &fuchsiaspoke.Refusal{
 		Code:    fuchsiaspoke.CodeAnswerMismatch,
