Refuse a caller's key that is escaped in a JSON body

Cause: the body was searched for the key's bytes alone, and the engine decodes JSON escapes. Change: bodies with a backslash are also searched as decoded.

--- a/vm/listener/call.go
+++ b/vm/listener/call.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
 	"path"
+	"slices"
 	"strings"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -38,7 +40,7 @@
 	if err != nil {
 		return unread(err)
 	}
-	if key != "" && bytes.Contains(body, []byte(key)) {
+	if carriesKey(body, key) {
 		return invalid("the request's body carries the caller's key")
 	}
 	call := fuchsiaspoke.Call{
@@ -66,6 +68,34 @@
 	return c.Blob(reply.Status, reply.ContentType, reply.Body)
 }
 
+// carriesKey reports whether the key stands in the body, as it is or escaped as JSON allows.
+func carriesKey(body []byte, key string) bool {
+	if key == "" {
+		return false
+	}
+	if bytes.Contains(body, []byte(key)) {
+		return true
+	}
+	var value any
+	return bytes.Contains(body, []byte(`\`)) && json.Unmarshal(body, &value) == nil && holdsKey(value, key)
+}
+
+func holdsKey(value any, key string) bool {
+	switch v := value.(type) {
+	case string:
+		return strings.Contains(v, key)
+	case []any:
+		return slices.ContainsFunc(v, func(item any) bool { return holdsKey(item, key) })
+	case map[string]any:
+		for name, item := range v {
+			if strings.Contains(name, key) || holdsKey(item, key) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // servicePath is the part of the URL that the service gets; a path that is not in its shortest form is refused.
 func servicePath(u *url.URL, profile, key string) (string, error) {
 	_, rest, _ := strings.Cut(strings.TrimPrefix(u.EscapedPath(), "/v1/services/"), "/")
--- a/vm/listener/generation.go
+++ b/vm/listener/generation.go
@@ -1,7 +1,6 @@
 package listener
 
 import (
-	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -70,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	if key != "" && bytes.Contains(body, []byte(key)) {
+	if carriesKey(body, key) {
 		return invalid("the request's body carries the caller's key")
 	}
 	request, err := parseCompletion(body, chat)
