Read a document again that came older than it was announced

Cause: a watcher took a change as seen once it had read the document, in whatever revision; where the platform's reads go back, the change was lost on that VM until the next one, unless a peer had it. Ruled out: the watch itself (its revisions rise), the catalog (it keeps the highest), a slow machine (the revision never came). Change: announced revisions stay pending until read or heard from a peer; they are read again each 250 ms on average.

--- a/platforms/poller/poller.go
+++ b/platforms/poller/poller.go
@@ -38,25 +38,26 @@
 	return doc, errors.Wrapf(err, "read %s", name)
 }
 
-// Changes waits for a revision above after, at most for wait, and returns the newest revision and the names that changed.
-func (p *Poller) Changes(ctx context.Context, after int64, wait time.Duration) (int64, []string, error) {
+// Changes waits for a revision above after, at most for wait, and returns the newest revision and that of each changed document.
+func (p *Poller) Changes(ctx context.Context, after int64, wait time.Duration) (int64, map[string]int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	var answer struct {
 		Revision int64 `json:"revision"`
 		Changed  []struct {
-			Name string `json:"name"`
+			Name     string `json:"name"`
+			Revision int64  `json:"revision"`
 		} `json:"changed"`
 	}
 	path := fmt.Sprintf("/v1/changes?after=%d&wait_ms=%d", after, wait.Milliseconds())
 	if err := p.get(ctx, path, &answer); err != nil {
 		return 0, nil, errors.Wrapf(err, "watch after revision %d", after)
 	}
-	names := make([]string, 0, len(answer.Changed))
+	changed := make(map[string]int64, len(answer.Changed))
 	for _, change := range answer.Changed {
-		names = append(names, change.Name)
+		changed[change.Name] = change.Revision
 	}
-	return answer.Revision, names, nil
+	return answer.Revision, changed, nil
 }
 
 func (p *Poller) get(ctx context.Context, path string, value any) error {
--- a/zone/relayer/relayer.go
+++ b/zone/relayer/relayer.go
@@ -24,6 +24,8 @@
 	readInterval = 10 * time.Second
 	// retryInterval is the mean pause after a failed call to the platform.
 	retryInterval = 500 * time.Millisecond
+	// rereadInterval is the mean pause before a document is read again that came older than it was announced.
+	rereadInterval = 250 * time.Millisecond
 	// roleInterval is how often a VM that does not watch asks again whether it should.
 	roleInterval = 500 * time.Millisecond
 	// fetchTimeout bounds a fetch from a peer.
@@ -34,7 +36,8 @@
 
 type platform interface {
 	Read(ctx context.Context, name string) (fuchsiaspoke.Document, error)
-	Changes(ctx context.Context, after int64, wait time.Duration) (int64, []string, error)
+	// Changes returns the newest revision, and the revision of each document that changed after the given one.
+	Changes(ctx context.Context, after int64, wait time.Duration) (int64, map[string]int64, error)
 }
 
 type caller interface {
@@ -62,6 +65,8 @@
 	heard   atomic.Bool
 	once    sync.Once
 	gaps    chan fuchsiaspoke.VM
+	// pending are the announced revisions that have not been read; only Run touches it.
+	pending map[string]int64
 }
 
 // Catalog returns the documents in force.
@@ -89,13 +94,17 @@
 	var after int64
 	for ctx.Err() == nil {
 		next, err := r.follow(ctx, after)
+		after = next
 		if err != nil {
 			r.fault(err)
 			pause(ctx, retryInterval)
 			continue
 		}
-		after = next
 		r.read.Store(true)
+		if len(r.pending) > 0 {
+			pause(ctx, rereadInterval)
+			continue
+		}
 		r.rest(ctx)
 	}
 	return ctx.Err()
@@ -159,21 +168,39 @@
 
 func (r *Relayer) follow(ctx context.Context, after int64) (int64, error) {
 	wait := time.Duration(0)
-	if r.Watches() && r.read.Load() {
+	if r.Watches() && r.read.Load() && len(r.pending) == 0 {
 		wait = watchWait
 	}
-	revision, names, err := r.Platform.Changes(ctx, after, wait)
+	revision, changed, err := r.Platform.Changes(ctx, after, wait)
 	if err != nil {
 		return after, err
 	}
-	for _, name := range names {
+	if r.pending == nil {
+		r.pending = make(map[string]int64)
+	}
+	for name, announced := range changed {
+		r.pending[name] = max(r.pending[name], announced)
+	}
+	return max(after, revision), r.readPending(ctx)
+}
+
+// readPending reads each announced document once; one that the platform gives in an older revision stays pending.
+func (r *Relayer) readPending(ctx context.Context) error {
+	for name, announced := range r.pending {
+		if r.Catalog().Revision(name) >= announced {
+			delete(r.pending, name)
+			continue
+		}
 		doc, err := r.Platform.Read(ctx, name)
 		if err != nil {
-			return after, err
+			return err
 		}
 		r.Offer(doc)
+		if doc.Revision >= announced {
+			delete(r.pending, name)
+		}
 	}
-	return max(after, revision), nil
+	return nil
 }
 
 func (r *Relayer) rest(ctx context.Context) {
