Give an engine work again that left and came back

Cause: the dispatcher of an engine published as leaving stayed draining for good, and the manager started no other while it had one, so that an engine that was published as staying again got no work as long as its lease was on a VM that had held it before. Ruled out: the lease (it was taken again), the service's replica (got work). Change: the manager lets such a dispatcher take work again.

--- a/upstream/dispatcher/dispatcher.go
+++ b/upstream/dispatcher/dispatcher.go
@@ -152,6 +152,12 @@
 	d.post(drained{})
 }
 
+// Resume takes new work again after Drain.
+func (d *Dispatcher) Resume() {
+	d.init()
+	d.post(resumed{})
+}
+
 // Withdraw refuses the queued work of the key with this hash at once, and ends its running streams after a grace period.
 func (d *Dispatcher) Withdraw(keyHash string) {
 	d.init()
--- a/upstream/dispatcher/message.go
+++ b/upstream/dispatcher/message.go
@@ -153,6 +153,11 @@
 	d.refuseQueued(drainingRefusal())
 }
 
+// resumed ends what drained began.
+type resumed struct{}
+
+func (resumed) apply(d *Dispatcher, _ time.Duration) { d.draining = false }
+
 // claimed is the engine's answer to a claim.
 type claimed struct {
 	number int64
--- a/upstream/manager/manager.go
+++ b/upstream/manager/manager.go
@@ -73,6 +73,8 @@
 	dispatcher *dispatcher.Dispatcher
 	end        context.CancelFunc
 	draining   bool
+	// left says that the duty drains only since its engine is published as leaving.
+	left bool
 }
 
 // work is a generation that waits or runs here.
@@ -178,7 +180,7 @@
 	return total
 }
 
-// Withdraw ends the work of keys that are withdrawn and stops the dispatchers of engines that take no new work.
+// Withdraw ends the work of keys that are withdrawn and stops the dispatchers of engines that take no new work; they go on when the engine is back.
 func (m *Manager) Withdraw(c catalog.Catalog) {
 	leaving := make(map[string]bool)
 	for _, u := range c.Upstreams() {
@@ -189,11 +191,15 @@
 	m.withdrawKeys()
 	for id, d := range m.running {
 		gone, known := leaving[id]
-		if known && !gone || d.draining {
-			continue
+		stays := known && !gone
+		switch {
+		case stays && d.left:
+			d.draining, d.left = false, false
+			d.dispatcher.Resume()
+		case !stays && !d.draining:
+			d.draining, d.left = true, true
+			d.dispatcher.Drain()
 		}
-		d.draining = true
-		d.dispatcher.Drain()
 	}
 }
 
@@ -230,7 +236,7 @@
 		m.mu.Unlock()
 		return
 	}
-	d.draining = true
+	d.draining, d.left = true, false
 	m.mu.Unlock()
 	d.dispatcher.Drain()
 	m.awaitEnd(ctx, d)
