--- a/proof/refusal_test.go
+++ b/proof/refusal_test.go
@@ -21,8 +21,8 @@
 	got   answer
 }
 
-// load sends requests at the given mean rate a second, whether or not earlier ones were answered, until stopped.
-func (f *fleet) load(account string, perSecond float64, tokens int, up func() []*machine, stop chan struct{}) func() []arrival {
+// openLoad sends requests at the given mean rate a second, whether or not earlier ones were answered, until stopped.
+func (f *fleet) openLoad(account string, perSecond float64, tokens int, up func() []*machine, stop chan struct{}) func() []arrival {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var all []arrival
@@ -64,7 +64,7 @@
 	up := append([]*machine(nil), f.vms...)
 	stop := make(chan struct{})
 	// Each request takes 5 prompt and 20 output tokens at the engine.
-	wait := f.load(account.Name, 0.6*account.RateTokensPerSecond/25, 20, func() []*machine {
+	wait := f.openLoad(account.Name, 0.6*account.RateTokensPerSecond/25, 20, func() []*machine {
 		mu.Lock()
 		defer mu.Unlock()
 		return up
--- a/upstream/manager/manager.go
+++ b/upstream/manager/manager.go
@@ -13,6 +13,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/dispatcher"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/driver"
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 )
 
@@ -66,6 +67,7 @@
 	mu      sync.Mutex
 	running map[string]*duty
 	grants  map[string]fuchsiaspoke.TokenGrant
+	work    map[string]work
 	life    context.Context
 	wg      sync.WaitGroup
 }
@@ -74,6 +76,15 @@
 	dispatcher *dispatcher.Dispatcher
 	end        context.CancelFunc
 	draining   bool
+	// left says that the duty drains only since its engine is published as leaving.
+	left bool
+}
+
+// work is a generation that waits or runs here.
+type work struct {
+	dispatcher *dispatcher.Dispatcher
+	keyHash    string
+	profile    string
 }
 
 // Resource is the name of an engine's lease.
@@ -113,9 +124,29 @@
 	if _, held := m.Held(Resource(upstream)); d == nil || !held {
 		return notHeld(upstream)
 	}
+	m.begin(g.RequestID, work{dispatcher: d.dispatcher, keyHash: g.KeyHash, profile: g.Profile})
+	defer m.finish(g.RequestID)
+	if err := m.Authorize(g.KeyHash, g.Profile); err != nil {
+		return err
+	}
 	return m.submit(ctx, d, g, sink)
 }
 
+func (m *Manager) begin(id string, w work) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.work == nil {
+		m.work = make(map[string]work)
+	}
+	m.work[id] = w
+}
+
+func (m *Manager) finish(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.work, id)
+}
+
 // Serve answers another VM that passes a generation here.
 func (m *Manager) Serve(ctx context.Context, _ string, request frame.Frame, send func(any) error) error {
 	var placement fuchsiaspoke.Placement
@@ -152,7 +183,7 @@
 	return total
 }
 
-// Withdraw ends the work of keys that are withdrawn and stops the dispatchers of engines that take no new work.
+// Withdraw ends the work of keys that are withdrawn and stops the dispatchers of engines that take no new work; they go on when the engine is back.
 func (m *Manager) Withdraw(c catalog.Catalog) {
 	leaving := make(map[string]bool)
 	for _, u := range c.Upstreams() {
@@ -160,13 +191,39 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.withdrawKeys()
 	for id, d := range m.running {
 		gone, known := leaving[id]
-		if known && !gone || d.draining {
+		stays := known && !gone
+		switch {
+		case stays && d.left:
+			d.draining, d.left = false, false
+			d.dispatcher.Resume()
+		case !stays && !d.draining:
+			d.draining, d.left = true, true
+			d.dispatcher.Drain()
+		}
+	}
+}
+
+// withdrawKeys ends the work whose key does not count any more; mu is held.
+func (m *Manager) withdrawKeys() {
+	type ended struct {
+		dispatcher *dispatcher.Dispatcher
+		keyHash    string
+	}
+	told := make(map[ended]bool)
+	for _, w := range m.work {
+		one := ended{w.dispatcher, w.keyHash}
+		var refusal *fuchsiaspoke.Refusal
+		if w.keyHash == "" || told[one] || !errors.As(m.Authorize(w.keyHash, w.profile), &refusal) {
 			continue
 		}
-		d.draining = true
-		d.dispatcher.Drain()
+		// A profile that is gone or closed to the account says nothing of the key's other work.
+		if refusal.Status == http.StatusUnauthorized {
+			told[one] = true
+			w.dispatcher.Withdraw(w.keyHash)
+		}
 	}
 }
 
@@ -182,7 +239,7 @@
 		m.mu.Unlock()
 		return
 	}
-	d.draining = true
+	d.draining, d.left = true, false
 	m.mu.Unlock()
 	d.dispatcher.Drain()
 	m.awaitEnd(ctx, d)
--- a/vm/router/router.go
+++ b/vm/router/router.go
@@ -195,12 +195,8 @@
 	if !errors.As(err, &refusal) || refusal.Run != fuchsiaspoke.NotRun {
 		return false
 	}
-	switch refusal.Code {
-	case fuchsiaspoke.CodeTokensShort, fuchsiaspoke.CodeKeyWithdrawn, fuchsiaspoke.CodeForbidden,
-		fuchsiaspoke.CodeUnauthenticated, fuchsiaspoke.CodeNoProfile:
-		return false
-	}
-	return true
+	denied := refusal.Status == http.StatusUnauthorized || refusal.Status == http.StatusForbidden
+	return !denied && refusal.Code != fuchsiaspoke.CodeTokensShort && refusal.Code != fuchsiaspoke.CodeNoProfile
 }
 
 func mismatch(want, got string) error {
