Send a generation again only where it surely did not run

Cause: the dispatcher sent a generation again after its answer broke off, as long as its caller had seen nothing, and the driver sent one again when the engine answered request_not_found, which a restarted engine does too. The second run took tokens that were never reserved; the caller's token bucket knew of one run alone. Ruled out: a fresh reservation for the second run, since an engine refuses the same request id anyway. Change: the dispatcher answers upstream_failed, run unknown. The driver sends again only where the engine's incarnation is the one known before the first sending, and the engine has had no time to forget the request. The lease is looked at once more as a generation or an order is written. TestGenerateSurvivesASilentPooledConnection claims the engine first, as every holder of a lease does; without a claim the driver knows no incarnation and now answers unknown.

--- a/upstream/dispatcher/dispatcher_test.go
+++ b/upstream/dispatcher/dispatcher_test.go
@@ -187,3 +187,21 @@
 		t.Errorf("only %d answered", answered.Load())
 	}
 }
+
+// TestWhatMayHaveRunIsNotSentAgain restarts the engine before the first token, when what the request took is unknown.
+func TestWhatMayHaveRunIsNotSentAgain(t *testing.T) {
+	e := newEngine(1, 1)
+	e.tokenTime = 300 * time.Millisecond
+	f := start(t, e, 1)
+	time.AfterFunc(150*time.Millisecond, e.restart)
+	err := submit(context.Background(), f, request("once", "account", 0, 3), func(fuchsiaspoke.Chunk) error { return nil })
+	e.mu.Lock()
+	sends := e.sends["once"]
+	e.mu.Unlock()
+	if sends != 1 {
+		t.Errorf("the request was sent %d times under one reservation", sends)
+	}
+	if got := refusal(t, err); got.Code != fuchsiaspoke.CodeUpstreamFailed || got.Run != fuchsiaspoke.RunUnknown {
+		t.Errorf("refused as %s with run %s", got.Code, got.Run)
+	}
+}
--- a/upstream/dispatcher/task.go
+++ b/upstream/dispatcher/task.go
@@ -14,7 +14,7 @@
 const (
 	// withdrawGrace is how long a running stream may go on after its key was withdrawn.
 	withdrawGrace = 2 * time.Second
-	// maxAttempts bounds how often one generation is sent when the engine lacked its adapter or the answer broke off.
+	// maxAttempts bounds how often one generation is sent when the engine lacked its adapter.
 	maxAttempts = 3
 	// firstPause and maxPause bound how long sends are kept off an engine that refuses them.
 	firstPause = 50 * time.Millisecond
@@ -72,7 +72,7 @@
 // Submit queues the generation, hands its answer to sink, and returns when the answer has ended.
 //
 // Errors are *fuchsiaspoke.Refusal whose Run is what is known for certain. A generation that surely did not run is sent
-// again within its patience; one that may have run is sent again only if sink has seen nothing of it.
+// again within its patience; one that may have run is not, since the tokens of a second run were never reserved.
 func (d *Dispatcher) Submit(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
 	d.init()
 	if g.Patience <= 0 {
@@ -173,10 +173,6 @@
 		t.run = fuchsiaspoke.Ran
 	}
 	result := outcome{sent: true, mayRun: !d.cancelAtEngine(ctx, t)}
-	if ctx.Err() == nil && s.sinkErr == nil && !s.seen && t.attempts < maxAttempts {
-		result.again = true
-		return result, nil
-	}
 	return result, d.failed(t, brokenRefusal(ctx, s, err))
 }
 
--- a/upstream/driver/driver.go
+++ b/upstream/driver/driver.go
@@ -50,6 +50,8 @@
 	once   sync.Once
 	pooled *http.Client
 	fresh  *http.Client
+	// incarnation is the engine's, as last reported.
+	incarnation atomic.Pointer[string]
 }
 
 type order struct {
@@ -128,6 +130,7 @@
 	defer cancel()
 	var report fuchsiaspoke.EngineReport
 	err := d.call(ctx, d.freshClient(), "/v1/fence", claim{fence}, &report)
+	d.note(report, err)
 	return report, d.wrap(err, "claim")
 }
 
@@ -137,9 +140,16 @@
 	defer cancel()
 	var report fuchsiaspoke.EngineReport
 	err := d.call(ctx, d.freshClient(), "/v1/report", nil, &report)
+	d.note(report, err)
 	return report, d.wrap(err, "report")
 }
 
+func (d *Driver) note(report fuchsiaspoke.EngineReport, err error) {
+	if err == nil {
+		d.incarnation.Store(&report.Incarnation)
+	}
+}
+
 // Cancel ends a request and returns what the engine says of its run.
 func (d *Driver) Cancel(ctx context.Context, requestID string) error {
 	_, err := d.cancel(ctx, requestID)
--- a/upstream/driver/driver_test.go
+++ b/upstream/driver/driver_test.go
@@ -159,6 +159,10 @@
 
 func TestGenerateSurvivesASilentPooledConnection(t *testing.T) {
 	b := start(t, &engine.Engine{})
+	// The holder of an engine's lease claims it first, by which the driver knows the engine's incarnation.
+	if _, err := b.Claim(context.Background(), 1); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := b.generate(context.Background(), t, generation("first", 5), nil); err != nil {
 		t.Fatal(err)
 	}
@@ -168,6 +172,32 @@
 	}
 }
 
+// TestGenerateIsNotSentAgainToARestartedEngine has an engine start a request, fall silent, and forget it in a restart.
+func TestGenerateIsNotSentAgainToARestartedEngine(t *testing.T) {
+	b := start(t, &engine.Engine{PrefillPerToken: 80 * time.Millisecond})
+	ctx := context.Background()
+	if _, err := b.Claim(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(50*time.Millisecond, func() {
+		b.engine.SetFault(fault.Fault{Silence: true, Restart: true})
+		if err := b.Load(ctx, adapter, 1); err != nil {
+			t.Error(err)
+		}
+	})
+	_, err := b.generate(ctx, t, generation("once", 5), nil)
+	checkRefusal(t, err, fuchsiaspoke.CodeUpstreamFailed, fuchsiaspoke.RunUnknown)
+	runs := 0
+	for _, r := range b.engine.Records() {
+		if r.RequestID == "once" && r.Kind == "run" {
+			runs++
+		}
+	}
+	if runs != 1 {
+		t.Errorf("the request ran %d times", runs)
+	}
+}
+
 func TestGenerateRefusals(t *testing.T) {
 	b := start(t, &engine.Engine{Batch: 1})
 	ctx := context.Background()
--- a/upstream/driver/stream.go
+++ b/upstream/driver/stream.go
@@ -15,8 +15,11 @@
 )
 
 const (
-	maxResumes    = 2
-	resumePause   = 50 * time.Millisecond
+	maxResumes  = 2
+	resumePause = 50 * time.Millisecond
+	// repeatWithin is how long after its sending a request that the engine does not know surely never came; the engine
+	// knows an ended request for longer.
+	repeatWithin  = 8 * time.Second
 	maxEventBytes = 1 << 20
 	drainTimeout  = 100 * time.Millisecond
 )
@@ -40,7 +43,7 @@
 // It resumes a stream that breaks, goes silent or carries a foreign chunk up to twice on a fresh connection, and
 // cancels the request on the engine when it gives up or ctx ends.
 func (d *Driver) Generate(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
-	s := &stream{driver: d, generation: g, sink: sink}
+	s := &stream{driver: d, generation: g, sink: sink, incarnation: d.incarnation.Load(), began: time.Now()}
 	err := s.start(ctx, d.client())
 	for i := range maxResumes {
 		if !resumable(ctx, err) {
@@ -66,6 +69,9 @@
 	sink       func(fuchsiaspoke.Chunk) error
 	next       int64
 	tokens     int64
+	// incarnation is the engine's, as last heard before the request was sent at began.
+	incarnation *string
+	began       time.Time
 	// mayRun is set once the engine may have taken the request.
 	mayRun bool
 }
@@ -98,16 +104,24 @@
 	return s.attempt(ctx, client, path, body)
 }
 
-// resume asks for the rest; where the engine never saw the request, and no part of it came, the request is sent again.
+// resume asks for the rest; where the engine surely never saw the request, the request is sent again.
 func (s *stream) resume(ctx context.Context) error {
 	body := reference{RequestID: s.generation.RequestID, FromIndex: s.next}
 	err := s.attempt(ctx, s.driver.freshClient(), "/v1/resume", body)
-	if s.next > 0 || !hasCode(err, codeNotFound) {
+	if s.next > 0 || !hasCode(err, codeNotFound) || !s.neverCame(ctx) {
 		return err
 	}
 	return s.start(ctx, s.driver.freshClient())
 }
 
+// neverCame reports whether an engine that does not know the request surely never saw it: it has not restarted since
+// the request was sent, and has had no time to forget it. A request that ran takes tokens, and those of a second run
+// were never reserved.
+func (s *stream) neverCame(ctx context.Context) bool {
+	report, err := s.driver.Report(ctx)
+	return err == nil && s.incarnation != nil && report.Incarnation == *s.incarnation && time.Since(s.began) < repeatWithin
+}
+
 // requestBody sets the fields that the system decides in the caller's allowed ones.
 func requestBody(g fuchsiaspoke.Generation) (map[string]json.RawMessage, error) {
 	body := make(map[string]json.RawMessage)
--- a/upstream/manager/manager.go
+++ b/upstream/manager/manager.go
@@ -227,7 +227,7 @@
 func (m *Manager) newDispatcher(u fuchsiaspoke.Upstream) *dispatcher.Dispatcher {
 	return &dispatcher.Dispatcher{
 		Upstream: u,
-		Engine:   &driver.Driver{Upstream: u},
+		Engine:   &driver.Driver{Upstream: u, Check: func() error { return m.stillHeld(u.ID) }},
 		Lease: func(now time.Duration) (fuchsiaspoke.Lease, bool) {
 			lease, held := m.Held(Resource(u.ID))
 			return lease, held && now < lease.Until
@@ -240,6 +240,14 @@
 	}
 }
 
+// stillHeld is the last look at an engine's lease, right before an order or a generation is written to the connection.
+func (m *Manager) stillHeld(upstream string) error {
+	if _, held := m.Held(Resource(upstream)); !held {
+		return notHeld(upstream)
+	}
+	return nil
+}
+
 // check is the last look before a generation is sent: the key, the profile, and the token reservation.
 func (m *Manager) check(g fuchsiaspoke.Generation) error {
 	if err := m.Authorize(g.KeyHash, g.Profile); err != nil {
