Carry X-Request-Id in every answer

Cause: only calls to plain services named their request in a header; a refusal of a generation named it nowhere, so that its word on the run could not be held against an engine's records. Change: the id is made as the request comes in, and every answer carries it, refusals of all kinds too.

--- a/vm/listener/call.go
+++ b/vm/listener/call.go
@@ -42,7 +42,7 @@
 		return invalid("the request's body carries the caller's key")
 	}
 	call := fuchsiaspoke.Call{
-		RequestID:      newRequestID(),
+		RequestID:      requestID(c),
 		Profile:        c.Param("profile"),
 		Method:         r.Method,
 		Path:           target,
@@ -52,7 +52,6 @@
 		KeyHash:        keyHash,
 		IdempotencyKey: r.Header.Get(idempotencyHeader),
 	}
-	c.Response().Header().Set(requestIDHeader, call.RequestID)
 	reply, err := l.Admitter.Call(r.Context(), call)
 	if err != nil {
 		return err
--- a/vm/listener/generation.go
+++ b/vm/listener/generation.go
@@ -81,6 +81,7 @@
 	if err != nil {
 		return err
 	}
+	g.RequestID = requestID(c)
 	g.KeyHash = keyHash
 	out := &writer{c: c, chat: chat, stream: request.Stream, model: request.Model, id: g.RequestID, promptTokens: g.PromptTokens}
 	if request.StreamOptions != nil {
@@ -121,7 +122,6 @@
 		return fuchsiaspoke.Generation{}, invalid("the request's body is not valid: " + err.Error())
 	}
 	return fuchsiaspoke.Generation{
-		RequestID:       newRequestID(),
 		Profile:         q.Model,
 		Chat:            chat,
 		Body:            body,
--- a/vm/listener/listener.go
+++ b/vm/listener/listener.go
@@ -112,6 +112,7 @@
 				err = failed()
 			}
 		}()
+		c.Response().Header().Set(requestIDHeader, newRequestID())
 		r := c.Request()
 		r.Body = http.MaxBytesReader(c.Response(), r.Body, maxBodyBytes)
 		if l.Draining() {
@@ -184,6 +185,11 @@
 	_ = c.JSON(refusal.Status, errorAnswer(refusal))
 }
 
+// requestID returns the id that the request got when it came in, and that every answer carries.
+func requestID(c echo.Context) string {
+	return c.Response().Header().Get(requestIDHeader)
+}
+
 func newRequestID() string {
 	var id [16]byte
 	_, _ = rand.Read(id[:])
