--- a/vm/forwarder/forwarder.go
+++ b/vm/forwarder/forwarder.go
@@ -15,6 +15,10 @@
 const (
 	// Method names the call that passes a call to the VM that issued its idempotency key.
 	Method = "call"
+	// IssueMethod names the call that asks a VM that stays for an idempotency key.
+	IssueMethod = "issue_key"
+	// issueTimeout bounds the wait for another VM's idempotency key.
+	issueTimeout = time.Second
 	// forwardTimeout bounds the wait for another VM's answer.
 	forwardTimeout = 65 * time.Second
 	// comeBack is when a caller may ask again for an outcome that is unknown.
@@ -25,8 +29,9 @@
 	Call(ctx context.Context, vm fuchsiaspoke.VM, method string, request any, receive func(cbor.RawMessage) error) error
 }
 
-type parser interface {
+type keys interface {
 	Parse(key, account string) (vm, incarnation string, err error)
+	Issue(account string) (string, error)
 }
 
 type executor interface {
@@ -42,8 +47,8 @@
 	// Self and Incarnation name this process.
 	Self        string
 	Incarnation string
-	// Keys reads idempotency keys.
-	Keys parser
+	// Keys reads and issues idempotency keys.
+	Keys keys
 	// Executor carries out the calls whose keys this process issued.
 	Executor executor
 	// Sender carries out idempotent calls.
@@ -52,6 +57,10 @@
 	Caller caller
 	// Find returns the address of a VM.
 	Find func(id string) (fuchsiaspoke.VM, bool)
+	// Draining reports whether this process is on its way out.
+	Draining func() bool
+	// Staying returns the other VMs that are not on their way out.
+	Staying func() []fuchsiaspoke.VM
 }
 
 // Execute returns the call's answer.
@@ -95,6 +104,45 @@
 	return send(reply)
 }
 
+// Issue returns a new idempotency key of a process that will be there for its call: another VM's while this one drains.
+func (f *Forwarder) Issue(ctx context.Context, account string) (string, error) {
+	if !f.Draining() {
+		return f.Keys.Issue(account)
+	}
+	for _, vm := range f.Staying() {
+		if key, err := f.askKey(ctx, vm, account); err == nil && key != "" {
+			return key, nil
+		}
+	}
+	return "", draining()
+}
+
+// ServeIssue answers another VM that asks for an idempotency key.
+func (f *Forwarder) ServeIssue(_ context.Context, _ string, request frame.Frame, send func(any) error) error {
+	var account string
+	if err := request.Decode(&account); err != nil {
+		return err
+	}
+	if f.Draining() {
+		return draining()
+	}
+	key, err := f.Keys.Issue(account)
+	if err != nil {
+		return err
+	}
+	return send(key)
+}
+
+func (f *Forwarder) askKey(ctx context.Context, vm fuchsiaspoke.VM, account string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, issueTimeout)
+	defer cancel()
+	var key string
+	err := f.Caller.Call(ctx, vm, IssueMethod, account, func(body cbor.RawMessage) error {
+		return cbor.Unmarshal(body, &key)
+	})
+	return key, err
+}
+
 // answer carries out a call whose key the incarnation of this VM issued.
 func (f *Forwarder) answer(ctx context.Context, call fuchsiaspoke.Call, incarnation string) (fuchsiaspoke.Reply, error) {
 	if incarnation != f.Incarnation {
@@ -128,3 +176,10 @@
 		Run: fuchsiaspoke.RunUnknown, Status: http.StatusBadGateway, RetryAfter: comeBack,
 	}
 }
+
+func draining() error {
+	return &fuchsiaspoke.Refusal{
+		Code: fuchsiaspoke.CodeDraining, Message: "no VM that stays can be reached for an idempotency key",
+		Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable, RetryAfter: comeBack,
+	}
+}
--- a/vm/listener/answer.go
+++ b/vm/listener/answer.go
@@ -112,13 +112,6 @@
 	}
 }
 
-func draining() error {
-	return &fuchsiaspoke.Refusal{
-		Code: fuchsiaspoke.CodeDraining, Message: "this VM takes no new work; ask GET /v1/entry for another",
-		Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable, RetryAfter: time.Second,
-	}
-}
-
 func failed() error {
 	return &fuchsiaspoke.Refusal{
 		Code: fuchsiaspoke.CodeUpstreamFailed, Message: "the request failed inside the system",
--- a/vm/listener/listener.go
+++ b/vm/listener/listener.go
@@ -38,7 +38,7 @@
 }
 
 type issuer interface {
-	Issue(account string) (string, error)
+	Issue(ctx context.Context, account string) (string, error)
 }
 
 // Listener is the HTTP side of an entry VM.
@@ -162,10 +162,10 @@
 	if err != nil {
 		return err
 	}
-	if !l.Ready() || l.Draining() {
-		return draining()
+	if !l.Ready() {
+		return starting()
 	}
-	key, err := l.Issuer.Issue(account)
+	key, err := l.Issuer.Issue(c.Request().Context(), account)
 	if err != nil {
 		return err
 	}
--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -320,7 +320,7 @@
 	n.executor = &executor.Executor{Keys: keys, Sender: n.balancer, Clock: n.timer.Now}
 	n.forwarder = &forwarder.Forwarder{
 		Self: n.settings.VM.ID, Incarnation: n.incarnation, Keys: keys, Executor: n.executor,
-		Sender: n.balancer, Caller: n.dialer, Find: n.gossiper.Find,
+		Sender: n.balancer, Caller: n.dialer, Find: n.gossiper.Find, Draining: n.draining.Load, Staying: n.staying,
 	}
 	n.admitter = &admitter.Admitter{
 		Catalog: n.relayer.Catalog, Spender: n.spender, Router: n.router, Executor: n.forwarder, Record: n.record,
@@ -328,7 +328,7 @@
 	}
 	n.listener = &listener.Listener{
 		Admitter: n.admitter,
-		Issuer:   keys,
+		Issuer:   n.forwarder,
 		Account: func(keyHash string) (string, error) {
 			return authenticator.Authenticator{}.Account(n.relayer.Catalog(), keyHash)
 		},
@@ -342,6 +342,7 @@
 		Status: n.status, Events: n.recorder.Events, Metrics: n.meter.Handler(), Ready: n.ready,
 	}
 	n.acceptor.Handle(forwarder.Method, n.forwarder.Serve)
+	n.acceptor.Handle(forwarder.IssueMethod, n.forwarder.ServeIssue)
 	return nil
 }
 
@@ -397,6 +398,17 @@
 	return vms
 }
 
+// staying are the other live VMs that are ready and not on their way out.
+func (n *node) staying() []fuchsiaspoke.VM {
+	var vms []fuchsiaspoke.VM
+	for _, peer := range n.gossiper.Live() {
+		if peer.VM.ID != n.settings.VM.ID && peer.Ready && !peer.Draining {
+			vms = append(vms, peer.VM)
+		}
+	}
+	return vms
+}
+
 func (n *node) engines() []fuchsiaspoke.Upstream {
 	return n.upstreams(fuchsiaspoke.EngineUpstream)
 }
