Try a generation elsewhere where its request surely never left

Cause: the router answered upstream_failed, run unknown, also where the connection to the lease's holder could not be opened, so that each killed VM cost its callers answers until its peers forgot it. Change: ErrNotSent counts as not run, and the generation goes to another replica within its patience.

--- a/vm/router/router.go
+++ b/vm/router/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -186,6 +187,9 @@
 	if errors.As(err, &refusal) {
 		return refusal
 	}
+	if errors.Is(err, dialer.ErrNotSent) {
+		return noUpstream("the VM that serves upstream " + to.upstream.ID + " cannot be reached")
+	}
 	return &fuchsiaspoke.Refusal{
 		Code:       fuchsiaspoke.CodeUpstreamFailed,
 		Message:    "the answer of upstream " + to.upstream.ID + " was lost: " + err.Error(),
