Bound queues, silent streams and failing loads of one replica

Cause: a review of the dispatcher: the queue had no bound, a silent stream held its place for good, an adapter that used up its tries got four more at once, an unload could outlast its lease, a planned stop refused as a lost lease, and profiles of the base model found no slot. Ruled out: refusing on an estimated wait, since the bound on outputs overstates it and would refuse work inside its rate; patience ends the wait instead. Change: MaxQueued and Stall, a memory of failed loads, unloads that end with the lease, and the zero adapter as the base model. Conclusion: nothing in the duty waits or grows without a bound.

--- a/upstream/dispatcher/dispatcher.go
+++ b/upstream/dispatcher/dispatcher.go
@@ -32,6 +32,9 @@
 	defaultPatience = 30 * time.Second
 	// headroomPart is the part of the batch, one over it, that is kept from the account with the most running requests.
 	headroomPart = 5
+	// defaultMaxQueued and defaultStall stand for MaxQueued and Stall where those are zero.
+	defaultMaxQueued = 20_000
+	defaultStall     = 20 * time.Second
 	// retryAfter is when a refused caller is told to come back.
 	retryAfter = time.Second
 )
@@ -65,7 +68,8 @@
 type Dispatcher struct {
 	Upstream fuchsiaspoke.Upstream
 	Engine   engine
-	// Lease returns the replica's lease and whether it is held at the given time since the process started.
+	// Lease returns the replica's lease and whether it is held at the given time since the process started; it must
+	// not block and is called from several goroutines, as are Check, Recorder and Clock.
 	Lease func(now time.Duration) (fuchsiaspoke.Lease, bool)
 	// Permits is the budget of loads; nil sets no bound.
 	Permits permits
@@ -75,6 +79,10 @@
 	Recorder recorder
 	// Clock is the time since the process started and goes on while suspended; nil uses the monotonic clock.
 	Clock func() time.Duration
+	// MaxQueued is the most requests that wait; more are refused as not run. Zero is 20,000.
+	MaxQueued int
+	// Stall is how long a stream may give nothing before it counts as broken; zero is 20 s.
+	Stall time.Duration
 	// Violated is told of each broken invariant after it was recorded; nil does no more.
 	Violated func(detail string)
 
@@ -99,16 +107,6 @@
 	pauses      int
 }
 
-// tenure is one time of holding the lease; a number of its own tells outcomes of earlier tenures apart.
-type tenure struct {
-	number   int64
-	fence    int64
-	held     bool
-	active   bool
-	claiming bool
-	claimAt  time.Duration
-}
-
 // snapshot is what Load reports.
 type snapshot struct {
 	queuedTokens int64
@@ -179,6 +177,12 @@
 		d.queue.Violated = d.violate
 		d.queue.Batch = d.Upstream.Batch
 		d.queue.Headroom = d.Upstream.Batch / headroomPart
+		if d.MaxQueued == 0 {
+			d.MaxQueued = defaultMaxQueued
+		}
+		if d.Stall == 0 {
+			d.Stall = defaultStall
+		}
 		if d.Clock == nil {
 			started := time.Now()
 			d.Clock = func() time.Duration { return time.Since(started) }
@@ -200,8 +204,8 @@
 
 // stop refuses the queue and waits for the workers that it started.
 func (d *Dispatcher) stop() {
-	d.loseLease()
 	d.refuseQueued(drainingRefusal())
+	d.tenure = tenure{number: d.tenure.number + 1}
 	for d.spawned > 0 {
 		m := <-d.inbox
 		m.apply(d, d.Clock())
@@ -222,45 +226,6 @@
 	}
 }
 
-// followLease takes up a lease that is new and gives up one that is gone.
-func (d *Dispatcher) followLease(now time.Duration) {
-	lease, ok := d.Lease(now)
-	if d.tenure.held && (!ok || lease.Fence != d.tenure.fence) {
-		d.loseLease()
-	}
-	if !ok || d.workers.Err() != nil {
-		return
-	}
-	if !d.tenure.held {
-		d.tenure = tenure{number: d.tenure.number + 1, fence: lease.Fence, held: true}
-	}
-	if !d.tenure.active && !d.tenure.claiming && now >= d.tenure.claimAt {
-		d.claim(now)
-	}
-}
-
-// loseLease refuses the queue as not run; outcomes that come later belong to a tenure that is over.
-func (d *Dispatcher) loseLease() {
-	if !d.tenure.held {
-		return
-	}
-	d.tenure = tenure{number: d.tenure.number + 1}
-	d.record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventLeaseLost})
-	d.refuseQueued(leaseRefusal())
-}
-
-// claim orders the engine to follow this tenure's fence and asks what it runs.
-func (d *Dispatcher) claim(now time.Duration) {
-	d.tenure.claiming = true
-	number, fence := d.tenure.number, d.tenure.fence
-	d.spawn(func(ctx context.Context) message {
-		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-		defer cancel()
-		report, err := d.Engine.Claim(ctx, fence)
-		return claimed{number: number, at: now, report: report, err: err}
-	})
-}
-
 // expire refuses work whose patience has run out.
 func (d *Dispatcher) expire(now time.Duration) {
 	for _, g := range d.queue.Expire(now) {
--- a/upstream/dispatcher/dispatcher_test.go
+++ b/upstream/dispatcher/dispatcher_test.go
@@ -51,6 +51,24 @@
 	l.until.Store(0)
 }
 
+// countedPermits is a budget that fails now and then and counts what is out.
+type countedPermits struct {
+	asked, out atomic.Int64
+}
+
+func (p *countedPermits) Acquire(ctx context.Context) (func(), error) {
+	if p.asked.Add(1)%11 == 0 {
+		return nil, errors.New("no budget")
+	}
+	select {
+	case <-time.After(time.Millisecond):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	p.out.Add(1)
+	return func() { p.out.Add(-1) }, nil
+}
+
 // fixture is a dispatcher that runs.
 type fixture struct {
 	*dispatcher.Dispatcher
@@ -180,7 +198,8 @@
 	r := rand.New(rand.NewPCG(uint64(*seed), 1))
 	var fail atomic.Int64
 	e.failLoad = func(fuchsiaspoke.Adapter) bool { return fail.Add(1)%7 == 0 }
-	f := start(t, e, 1)
+	permits := &countedPermits{}
+	f := start(t, e, 1, func(f *fixture) { f.Permits = permits })
 	var wg sync.WaitGroup
 	var answered, refused, unsure atomic.Int64
 	for c := range callers {
@@ -231,7 +250,12 @@
 	t.Logf("seed %d: %d answered, %d refused as not run, %d broken off, %d loads, peak batch %d",
 		*seed, answered.Load(), refused.Load(), unsure.Load(), loads, peak)
 	noFaults(t, e)
-	if f.cancel(); answered.Load() < callers*requests/4 {
+	f.cancel()
+	<-f.Done()
+	if n := permits.out.Load(); n != 0 {
+		t.Errorf("%d permits not given back", n)
+	}
+	if answered.Load() < callers*requests/2 {
 		t.Errorf("only %d answered", answered.Load())
 	}
 }
--- a/upstream/dispatcher/engine_test.go
+++ b/upstream/dispatcher/engine_test.go
@@ -20,6 +20,8 @@
 	checksFence  bool
 	// failLoad decides which loads fail.
 	failLoad func(a fuchsiaspoke.Adapter) bool
+	// silent decides which streams give nothing more.
+	silent func(requestID string) bool
 
 	mu       sync.Mutex
 	started  time.Time
@@ -112,6 +114,10 @@
 	}
 	defer e.end(g.RequestID, r)
 	for i := range g.MaxOutputTokens {
+		if e.silent != nil && e.silent(g.RequestID) {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -144,7 +150,7 @@
 	if e.isOld(g.Fence) {
 		return nil, &fuchsiaspoke.Refusal{Code: fuchsiaspoke.CodeUpstreamFailed, Run: fuchsiaspoke.NotRun, Status: http.StatusConflict}
 	}
-	if !e.resident[g.Adapter] {
+	if !e.resident[g.Adapter] && g.Adapter.Name != "" {
 		return nil, &fuchsiaspoke.Refusal{Code: fuchsiaspoke.CodeUpstreamFailed, Run: fuchsiaspoke.NotRun, Status: http.StatusNotFound}
 	}
 	if e.running[g.RequestID] != nil {
--- a/upstream/dispatcher/failure_test.go
+++ b/upstream/dispatcher/failure_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -232,6 +234,46 @@
 	kept.whole(t, other)
 }
 
+// TestSilentStream checks that a stream that gives nothing is sent again, and the queue's length is bounded meanwhile.
+func TestSilentStream(t *testing.T) {
+	e := newEngine(1, 1)
+	var silenced atomic.Bool
+	e.silent = func(id string) bool { return id == "silent" && silenced.CompareAndSwap(false, true) }
+	f := start(t, e, 1, func(f *fixture) {
+		f.Stall = 300 * time.Millisecond
+		f.MaxQueued = 1
+	})
+	g, base := request("silent", "a", 0, 5), request("base", "b", 0, 5)
+	base.Adapter = fuchsiaspoke.Adapter{}
+	silent := f.send(g)
+	eventually(t, "stream is silent", silenced.Load)
+	queued := f.send(base)
+	eventually(t, "request waits", func() bool { tokens, _, _ := f.Load(); return tokens > 0 })
+	f.send(request("third", "b", 0, 5)).refused(t, fuchsiaspoke.CodeOverloaded, fuchsiaspoke.NotRun)
+	silent.whole(t, g)
+	queued.whole(t, base)
+	if n := e.sentTimes("silent"); n != 2 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+// TestPrefetch checks that a queued request's adapter is loaded while the batch is full.
+func TestPrefetch(t *testing.T) {
+	e := newEngine(2, 1)
+	e.tokenTime = 5 * time.Millisecond
+	f := start(t, e, 1)
+	g, next := request("running", "a", 0, 100), request("next", "a", 5, 5)
+	running := f.send(g)
+	eventually(t, "stream runs", func() bool { return running.chunks.Load() > 0 })
+	queued := f.send(next)
+	eventually(t, "adapter is ready", func() bool { _, _, ready := f.Load(); return slices.Contains(ready, next.Adapter) })
+	if n := e.sentTimes("next"); n > 0 || running.chunks.Load() == g.MaxOutputTokens {
+		t.Error("the load waited for the batch")
+	}
+	running.whole(t, g)
+	queued.whole(t, next)
+}
+
 // TestDrain checks that a drained duty takes nothing new, hands back what is queued, and ends what runs.
 func TestDrain(t *testing.T) {
 	e := newEngine(1, 1)
--- a/upstream/dispatcher/loading.go
+++ b/upstream/dispatcher/loading.go
@@ -17,13 +17,15 @@
 	// firstBackoff and maxBackoff bound the wait between two tries of one load.
 	firstBackoff = 200 * time.Millisecond
 	maxBackoff   = 5 * time.Second
+	// failureMemory is how long after a failure its tries count.
+	failureMemory = time.Minute
 	// maxDoublings bounds the exponent of a backoff.
 	maxDoublings = 6
 	// forceAfter is how long a request waits before its load may evict an adapter that other work waits for.
 	forceAfter = 500 * time.Millisecond
 	// reserveAfter is how long a request waits before a slot in use is closed to new work for its adapter.
 	reserveAfter = time.Second
-	// unloadMargin is how much of the lease must be left for an unload order.
+	// unloadMargin is how much of the lease must be left for an unload order, which ends with the lease.
 	unloadMargin = 500 * time.Millisecond
 )
 
@@ -164,9 +166,12 @@
 		if err := o.confirmIdle(ctx, d); err != nil {
 			return unloaded{order: o, err: err}
 		}
-		if !d.mayOrder(o.fence, unloadMargin) {
+		left := d.leaseLeft(o.fence)
+		if left < unloadMargin {
 			return unloaded{order: o, err: errLeaseLost}
 		}
+		ctx, stop := context.WithTimeout(ctx, left)
+		defer stop()
 		err := d.Engine.Unload(ctx, o.victim, o.fence)
 		return unloaded{order: o, sent: true, err: errors.Wrapf(err, "unload adapter at upstream %s", d.Upstream.ID)}
 	}
@@ -194,7 +199,7 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		started := d.Clock()
-		if !d.mayOrder(o.fence, 0) {
+		if d.leaseLeft(o.fence) <= 0 {
 			return loaded{o, 0, errLeaseLost}
 		}
 		err := d.Engine.Load(ctx, o.adapter, o.fence)
@@ -202,11 +207,14 @@
 	}
 }
 
-// mayOrder is the last look at the lease before an order.
-func (d *Dispatcher) mayOrder(fence int64, margin time.Duration) bool {
+// leaseLeft is what is left of the lease with this fence, the last look before an order.
+func (d *Dispatcher) leaseLeft(fence int64) time.Duration {
 	now := d.Clock()
 	lease, ok := d.Lease(now)
-	return ok && lease.Fence == fence && lease.Until-now > margin
+	if !ok || lease.Fence != fence {
+		return 0
+	}
+	return lease.Until - now
 }
 
 // unloaded is the end of an unload order.
@@ -266,9 +274,13 @@
 	d.countFailure(now, o.adapter)
 }
 
-// countFailure backs off from the adapter's load, and refuses the work that waits for it when the tries are used up.
+// countFailure backs off from the adapter's load, and refuses the work that waits for it when the tries are used up; work
+// that comes after that gets one more try. Tries do not count while the engine itself cannot be reached.
 func (d *Dispatcher) countFailure(now time.Duration, a fuchsiaspoke.Adapter) {
 	f := d.loader.failures[a]
+	if now-f.retryAt > failureMemory {
+		f.tries = 0
+	}
 	f.tries++
 	wait := min(maxBackoff, firstBackoff<<min(f.tries-1, maxDoublings))
 	f.retryAt = now + jittered(wait)
@@ -279,7 +291,7 @@
 		d.loader.failures[a] = f
 		return
 	}
-	delete(d.loader.failures, a)
+	d.loader.failures[a] = failure{tries: maxLoadTries - 1, retryAt: now + jittered(maxBackoff)}
 	for _, g := range d.queue.RemoveAdapter(a) {
 		d.refuse(g, loadRefusal())
 	}
--- a/upstream/dispatcher/message.go
+++ b/upstream/dispatcher/message.go
@@ -40,6 +40,9 @@
 		m.task.run = fuchsiaspoke.RunUnknown
 		d.answer(m.task, duplicateRefusal())
 		return
+	case d.queue.Len() >= d.MaxQueued:
+		d.answer(m.task, overloadedRefusal())
+		return
 	}
 	m.task.deadline = now + g.Patience
 	d.queue.Push(now, g)
--- a/upstream/dispatcher/refusal.go
+++ b/upstream/dispatcher/refusal.go
@@ -39,6 +39,10 @@
 	return unavailable(fuchsiaspoke.CodeAdapterLoadFailed, "the upstream keeps losing the adapter")
 }
 
+func overloadedRefusal() fuchsiaspoke.Refusal {
+	return unavailable(fuchsiaspoke.CodeOverloaded, "too many requests wait for the upstream")
+}
+
 func duplicateRefusal() fuchsiaspoke.Refusal {
 	return fuchsiaspoke.Refusal{
 		Code:    fuchsiaspoke.CodeInvalidRequest,
--- a/upstream/dispatcher/task.go
+++ b/upstream/dispatcher/task.go
@@ -24,6 +24,7 @@
 var (
 	errCallerGone = errors.New("caller is gone")
 	errWithdrawn  = errors.New("key was withdrawn")
+	errStalled    = errors.New("the stream gave nothing for too long")
 	errMismatch   = errors.New("answer belongs to another request")
 )
 
@@ -123,23 +124,34 @@
 	g := t.generation
 	g.Fence = t.fence
 	if ctx.Err() != nil {
-		return outcome{}, d.unsent(t, goneRefusal())
+		return outcome{}, d.failed(t, goneRefusal())
 	}
 	if d.Check != nil {
 		if err := d.Check(g); err != nil {
-			return outcome{}, d.unsent(t, checkRefusal(err))
+			return outcome{}, d.failed(t, checkRefusal(err))
 		}
 	}
+	sending, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	watchdog := time.AfterFunc(d.Stall, func() { stop(errStalled) })
+	defer watchdog.Stop()
 	s := &stream{}
 	d.recordSent(t)
 	now := d.Clock()
 	if now >= t.deadline {
-		return outcome{}, d.unsent(t, deadlineRefusal())
+		return outcome{}, d.failed(t, deadlineRefusal())
 	}
 	if lease, ok := d.Lease(now); !ok || lease.Fence != t.fence {
-		return outcome{}, d.unsent(t, leaseRefusal())
+		return outcome{}, d.failed(t, leaseRefusal())
+	}
+	err := d.Engine.Generate(sending, g, func(c fuchsiaspoke.Chunk) error {
+		watchdog.Stop()
+		defer watchdog.Reset(d.Stall)
+		return s.take(t, c, sink)
+	})
+	if err != nil && errors.Is(context.Cause(sending), errStalled) {
+		err = errStalled
 	}
-	err := d.Engine.Generate(ctx, g, func(c fuchsiaspoke.Chunk) error { return s.take(t, c, sink) })
 	return d.judge(ctx, t, s, err)
 }
 
@@ -203,11 +215,7 @@
 	return d.Engine.Cancel(ctx, t.generation.RequestID) == nil
 }
 
-// unsent ends a granted task that was not sent.
-func (d *Dispatcher) unsent(t *task, refusal fuchsiaspoke.Refusal) error {
-	return d.failed(t, refusal)
-}
-
+// failed records and returns the refusal of a granted task, with what is known of its run.
 func (d *Dispatcher) failed(t *task, refusal fuchsiaspoke.Refusal) error {
 	refusal.Run = t.run
 	d.record(fuchsiaspoke.Event{
@@ -219,6 +227,7 @@
 	return &refusal
 }
 
+// recordSent comes before the last look at the lease, since nothing may come after it; a refusal follows where that fails.
 func (d *Dispatcher) recordSent(t *task) {
 	g := t.generation
 	d.record(fuchsiaspoke.Event{
--- a/upstream/placer/placer.go
+++ b/upstream/placer/placer.go
@@ -99,7 +99,7 @@
 // cost is the wait on a replica in queued tokens, with what keeps work off it.
 func (p *Placer) cost(now time.Duration, a fuchsiaspoke.Adapter, s *fuchsiaspoke.UpstreamState, own bool) float64 {
 	cost := float64(s.QueuedTokens) + p.lately(now, s.Upstream.ID)
-	if !slices.Contains(s.Resident, a) {
+	if a != (fuchsiaspoke.Adapter{}) && !slices.Contains(s.Resident, a) {
 		cost += loadTokens
 	}
 	if !own {
--- a/upstream/slotter/slotter.go
+++ b/upstream/slotter/slotter.go
@@ -60,8 +60,11 @@
 	foreign     int64
 }
 
-// Fits reports whether a request may be sent on the adapter now.
+// Fits reports whether a request may be sent on the adapter now; the zero adapter is the base model, which always fits.
 func (s *Slotter) Fits(a fuchsiaspoke.Adapter) bool {
+	if isBase(a) {
+		return true
+	}
 	t := s.slots[a]
 	return t != nil && t.state == resident && !t.closed
 }
@@ -79,7 +82,7 @@
 
 // NeedLoad reports whether the adapter has no slot.
 func (s *Slotter) NeedLoad(a fuchsiaspoke.Adapter) bool {
-	return s.slots[a] == nil
+	return s.slots[a] == nil && !isBase(a)
 }
 
 // Free is the number of empty slots.
@@ -376,6 +379,11 @@
 	}
 }
 
+// isBase reports whether the adapter is none, as of a profile of the base model, which takes no slot.
+func isBase(a fuchsiaspoke.Adapter) bool {
+	return a == fuchsiaspoke.Adapter{}
+}
+
 func runs(report fuchsiaspoke.EngineReport, a fuchsiaspoke.Adapter) bool {
 	for _, use := range report.Running {
 		if use.Adapter == a && use.Requests > 0 {
