Tell accounts within their rate apart in the bench, and count the prompt in every chunk

WithTimes left a scenario's incidents where they were. Ruled out: dropping the flooding account from the report; it has its own line.

--- a/bench/reporter/reporter.go
+++ b/bench/reporter/reporter.go
@@ -66,7 +66,7 @@
 	row("requests, whole, refused", func(s summary.Summary) string {
 		return fmt.Sprintf("%d, %d, %d", s.Requests, s.Whole, s.Refused)
 	})
-	times("first token, ms p50/p95/p99", func(s summary.Summary) percentile.Percentile { return s.FirstToken })
+	times("first token within rate, ms p50/p95/p99", func(s summary.Summary) percentile.Percentile { return s.FirstToken })
 	times("between tokens, ms p50/p95/p99", func(s summary.Summary) percentile.Percentile { return s.BetweenTokens })
 	row("load stalls of generations", func(s summary.Summary) string {
 		return fmt.Sprintf("%d of %d", s.LoadStalls, s.Generations)
@@ -81,6 +81,7 @@
 	row("worst client account, wait ms p99", func(s summary.Summary) string {
 		return fmt.Sprintf("%s, %.0f", s.WorstAccount, s.WorstAccountWaitP99)
 	})
+	count("refused of accounts within their rate", func(s summary.Summary) int { return s.WellBehavedRefused })
 	row("refused inside the rate: by use, by reservation", func(s summary.Summary) string {
 		return fmt.Sprintf("%d, %d", s.RefusedInsideRate, s.RefusedInsideReserved)
 	})
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -62,8 +62,18 @@
 	return all[i], true
 }
 
-// WithTimes returns a copy with another warm-up and duration.
+// WithTimes returns a copy with another warm-up and duration, whose incidents come at the same parts of the duration.
 func (s Scenario) WithTimes(warmup, duration time.Duration) Scenario {
+	move := func(at time.Duration) time.Duration {
+		return warmup + time.Duration(float64(at-s.Warmup)/float64(s.Duration)*float64(duration))
+	}
+	if s.ShiftAt > 0 {
+		s.ShiftAt = move(s.ShiftAt)
+	}
+	s.Incidents = slices.Clone(s.Incidents)
+	for i := range s.Incidents {
+		s.Incidents[i].At = move(s.Incidents[i].At)
+	}
 	s.Warmup, s.Duration = warmup, duration
 	return s
 }
--- a/bench/summarizer/summarizer.go
+++ b/bench/summarizer/summarizer.go
@@ -122,14 +122,19 @@
 			sum.Refused++
 			a.portion.Refused++
 			sum.Codes[o.Code]++
+			if !a.portion.Floods {
+				sum.WellBehavedRefused++
+			}
 		}
 		if o.Kind != "generation" {
 			continue
 		}
 		sum.Generations++
 		if o.FirstToken > 0 {
-			observe(firstToken, o.FirstToken)
 			observe(a.firstToken, o.FirstToken)
+			if !a.portion.Floods {
+				observe(firstToken, o.FirstToken)
+			}
 		}
 		for _, gap := range o.Gaps {
 			observe(between, gap)
--- a/bench/summary/summary.go
+++ b/bench/summary/summary.go
@@ -18,6 +18,7 @@
 	Refused     int `json:"refused"`
 	Generations int `json:"generations"`
 
+	// FirstToken is of the client accounts within their rate; one that floods waits for its own tokens.
 	FirstToken    percentile.Percentile `json:"first_token_ms"`
 	BetweenTokens percentile.Percentile `json:"between_tokens_ms"`
 
@@ -37,6 +38,8 @@
 	WorstAccount        string  `json:"worst_client_account"`
 	WorstAccountWaitP99 float64 `json:"worst_client_account_wait_p99_ms"`
 
+	// WellBehavedRefused counts the refusals of client accounts that stay within their rate on average.
+	WellBehavedRefused int `json:"refused_of_accounts_within_rate"`
 	// RefusedInsideRate counts refusals for which a bucket that every served request takes its true tokens from as it
 	// arrives had the tokens that the refused request could take.
 	RefusedInsideRate int `json:"refused_inside_rate"`
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -16,7 +16,7 @@
 //	POST /v1/cancel                                      {"request_id"}; answers {"run"}
 //	GET  /v1/cache_events?after=N                        late and with gaps
 //
-// Streams are server-sent events, one chunk each, the last with "prompt_tokens", and end with [DONE]; a comment line
+// Streams are server-sent events, one chunk each, with "prompt_tokens" in each, and end with [DONE]; a comment line
 // comes each second in which no chunk does. Loads answer when the adapter is resident; they are refused with 409 when
 // every slot is taken or the fence is old. A run on an adapter that is not resident is refused with 404. Errors are
 // {"error":{"code","message","run"}}. A request whose connections are all broken goes on for two seconds and is then
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -107,12 +107,12 @@
 	for _, r := range slices.Clone(e.running) {
 		n := int64(len(r.chunks))
 		chunk := fuchsiaspoke.Chunk{
-			RequestID: r.id, Index: n, Adapter: r.adapter, Tokens: 1,
+			PromptTokens: r.promptTokens,
+			RequestID:    r.id, Index: n, Adapter: r.adapter, Tokens: 1,
 			Text: fmt.Sprintf("%s@%d/%s/%d ", r.adapter.Name, r.adapter.Version, r.promptHash[:8], n),
 		}
 		if n+1 >= r.limit {
 			chunk.FinishReason = "length"
-			chunk.PromptTokens = r.promptTokens
 		}
 		r.chunks = append(r.chunks, chunk)
 		if chunk.FinishReason != "" {
--- a/upstream/driver/driver_test.go
+++ b/upstream/driver/driver_test.go
@@ -80,8 +80,8 @@
 		if c.RequestID != g.RequestID || c.Adapter != g.Adapter || c.Index != int64(n) || c.Tokens != 1 {
 			t.Errorf("%s: chunk %d is %+v", g.RequestID, n, c)
 		}
-		if c.FinishReason != "" && c.PromptTokens == 0 {
-			t.Errorf("%s: the last chunk does not count the prompt", g.RequestID)
+		if c.PromptTokens == 0 {
+			t.Errorf("%s: chunk %d does not count the prompt", g.RequestID, n)
 		}
 		n++
 		if each != nil {
