Serve client accounts in turn for the load budget, and try a lost generation once more with tokens of its own

Cause: permits for adapter loads were first come first served over all VMs, and each replica waited for one permit at a time, so that small accounts stood behind the loads of the account at four times its rate. Ruled out: more loads at once (the store allows three a second). Change: waiting permits are served by start-time fair queueing over client accounts; a replica asks for each account apart, and gives an unused permit back. A generation whose answer broke off before its caller saw any of it is admitted once more by its entry VM, under a new id and with a new reservation.

--- a/contract/granter/bucket.go
+++ b/contract/granter/bucket.go
@@ -68,7 +68,7 @@
 	if b.closed {
 		return false, nil, notHeld(b.name)
 	}
-	wait, err := b.minter.Reserve(b.clock(), ask.ID, ask.Tokens, ask.Patience)
+	wait, err := b.minter.ReserveFor(b.clock(), ask.Group, ask.ID, ask.Tokens, ask.Patience)
 	if err == nil && wait == 0 {
 		delete(b.announced, ask.ID)
 	}
--- a/contract/minter/minter.go
+++ b/contract/minter/minter.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/bits"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -53,6 +54,10 @@
 	outstanding int64
 	remainder   uint64 // of a nanotoken, in nanoseconds times nanotokens a second
 
+	// turn and finished order waiting reservations of several groups by start-time fair queueing.
+	turn     int64
+	finished map[string]int64
+
 	reserved map[string]*reservation
 	granted  []*reservation // by grant time
 	waiting  []*reservation // first come first
@@ -64,6 +69,8 @@
 	rest    int64
 	granted bool
 	ended   bool
+	// start is the virtual time from which on its group may be served.
+	start int64
 	// until is the end of the patience while waiting, of the age once granted.
 	until time.Duration
 }
@@ -154,6 +161,11 @@
 // *fuchsiaspoke.Refusal at once for more than the burst, and when patience would be too short even if all that is
 // outstanding came back now. Reserve may be called again for an id.
 func (m *Minter) Reserve(now time.Duration, id string, tokens int64, patience time.Duration) (time.Duration, error) {
+	return m.ReserveFor(now, "", id, tokens, patience)
+}
+
+// ReserveFor is Reserve for one of several groups that share the bucket; waiting groups are served in turn.
+func (m *Minter) ReserveFor(now time.Duration, group, id string, tokens int64, patience time.Duration) (time.Duration, error) {
 	if !m.open {
 		return 0, notOpen()
 	}
@@ -170,16 +182,37 @@
 		m.grant(r)
 		return 0, nil
 	}
-	ahead := m.ahead(nil)
+	r.start = m.startOf(group)
+	ahead := m.ahead(r)
 	wait := m.fillTime(ahead + r.rest - m.level)
 	if m.fillTime(ahead+r.rest-m.level-m.outstanding) > patience || len(m.waiting) >= m.maxWaiting() {
 		return 0, m.rateExceeded().WithRetryAfter(wait)
 	}
 	m.reserved[id] = r
-	m.waiting = append(m.waiting, r)
+	m.queue(r, group)
 	return wait, nil
 }
 
+// startOf is the virtual time from which on a new reservation of the group may be served.
+func (m *Minter) startOf(group string) int64 {
+	if m.finished == nil || len(m.waiting) == 0 {
+		m.finished = map[string]int64{}
+		m.turn = 0
+	}
+	return max(m.turn, m.finished[group])
+}
+
+// queue puts the reservation behind those that start no later: first come first served within a group, and the groups in
+// turn (start-time fair queueing, Goyal, Vin and Cheng 1996).
+func (m *Minter) queue(r *reservation, group string) {
+	m.finished[group] = r.start + r.rest
+	at := len(m.waiting)
+	for at > 0 && m.waiting[at-1].start > r.start {
+		at--
+	}
+	m.waiting = slices.Insert(m.waiting, at, r)
+}
+
 // Advance grants waiting reservations in order and gives up those whose patience is over, or that can't be granted since
 // the burst was lowered. It returns their ids and the time until it should be called again, zero if nothing waits.
 func (m *Minter) Advance(now time.Duration) (granted, refused []string, next time.Duration) {
@@ -188,6 +221,7 @@
 	for len(m.waiting) > 0 && m.waiting[0].rest <= m.level {
 		r := m.waiting[0]
 		m.waiting = m.waiting[1:]
+		m.turn = r.start
 		m.grant(r)
 		granted = append(granted, r.id)
 	}
@@ -346,11 +380,11 @@
 	return m.fillTime(m.ahead(r) + r.rest - m.level)
 }
 
-// ahead is what the reservations before r wait for, all of them if r is nil.
+// ahead is what the reservations before r wait for, whether r waits already or is about to.
 func (m *Minter) ahead(r *reservation) int64 {
 	var sum int64
 	for _, w := range m.waiting {
-		if w == r {
+		if w == r || w.start > r.start {
 			break
 		}
 		sum = min(sum+w.rest, maxTokens*nanotokens)
--- a/contract/permitter/permitter.go
+++ b/contract/permitter/permitter.go
@@ -39,23 +39,27 @@
 	return fuchsiaspoke.ClientAccount{Name: Account, RateTokensPerSecond: loadsPerSecond, BurstTokens: maxLoads}
 }
 
-// Acquire waits for a permit; release gives back its place among the loads in flight.
-func (p *Permitter) Acquire(ctx context.Context) (release func(), err error) {
+// Acquire waits for a permit on behalf of a client account; accounts that wait are served in turn.
+//
+// Release gives back the place among the loads in flight, and the permit as well if it was not used.
+func (p *Permitter) Acquire(ctx context.Context, account string) (release func(used bool), err error) {
 	var id [8]byte
 	_, _ = rand.Read(id[:])
 	grant, _, err := p.Spender.Reserve(ctx, fuchsiaspoke.TokenAsk{
-		Account: Account, ID: "load_" + hex.EncodeToString(id[:]), Tokens: 1, Patience: patience,
+		Account: Account, ID: "load_" + hex.EncodeToString(id[:]), Tokens: 1, Group: account, Patience: patience,
 	})
 	if err != nil {
 		return nil, err
 	}
-	return func() { go p.report(grant) }, nil
+	return func(used bool) { go p.report(grant, used) }, nil
 }
 
-func (p *Permitter) report(grant fuchsiaspoke.TokenGrant) {
+func (p *Permitter) report(grant fuchsiaspoke.TokenGrant, used bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	_ = p.Spender.Update(ctx, fuchsiaspoke.TokenUpdate{
-		Account: grant.Account, ID: grant.ID, Fence: grant.Fence, Consumed: grant.Tokens, Finished: true,
-	})
+	update := fuchsiaspoke.TokenUpdate{Account: grant.Account, ID: grant.ID, Fence: grant.Fence, Finished: true}
+	if used {
+		update.Consumed = grant.Tokens
+	}
+	_ = p.Spender.Update(ctx, update)
 }
--- a/tokens.go
+++ b/tokens.go
@@ -10,6 +10,8 @@
 	Tokens int64  `cbor:"3,keyasint"`
 	// Likely is what the request will likely cost; Tokens is the bound on it.
 	Likely int64 `cbor:"5,keyasint,omitempty"`
+	// Group names whom the tokens are for where several share the bucket; waiting groups are served in turn.
+	Group string `cbor:"6,keyasint,omitempty"`
 	// Patience is how long the asker is ready to wait.
 	Patience time.Duration `cbor:"4,keyasint"`
 }
--- a/upstream/dispatcher/dispatcher.go
+++ b/upstream/dispatcher/dispatcher.go
@@ -51,7 +51,7 @@
 
 // permits is the fleet-wide budget of adapter loads; release must not block.
 type permits interface {
-	Acquire(ctx context.Context) (release func(), err error)
+	Acquire(ctx context.Context, account string) (release func(used bool), err error)
 }
 
 // recorder takes events for the time line; it must not block.
@@ -178,6 +178,7 @@
 		d.waiting = make(map[string]*task)
 		d.running = make(map[*task]struct{})
 		d.loader.failures = make(map[fuchsiaspoke.Adapter]failure)
+		d.loader.acquiring = make(map[string]bool)
 		d.slots.Slots = d.Upstream.Slots
 		d.slots.Violated = d.violate
 		d.queue.Violated = d.violate
--- a/upstream/dispatcher/loading.go
+++ b/upstream/dispatcher/loading.go
@@ -37,8 +37,8 @@
 
 // loaderState is the duty's view of loads.
 type loaderState struct {
-	// acquiring says that a permit is awaited.
-	acquiring bool
+	// acquiring names the client accounts for whom a permit is awaited, so that none waits behind another's turn.
+	acquiring map[string]bool
 	loads     int
 	failures  map[fuchsiaspoke.Adapter]failure
 	// retryAt keeps permits from being asked for while the budget fails.
@@ -60,11 +60,12 @@
 	evict   bool
 	// incarnation is the engine's at the time of the decision.
 	incarnation string
-	release     func()
+	release     func(used bool)
 }
 
 // need is an adapter to load and the one to evict for it.
 type need struct {
+	account string
 	adapter fuchsiaspoke.Adapter
 	victim  fuchsiaspoke.Adapter
 	evict   bool
@@ -72,31 +73,33 @@
 
 // load asks for a permit where an adapter can be loaded; the adapter is chosen when the permit is there.
 func (d *Dispatcher) load(now time.Duration) {
-	if !d.tenure.active || d.loader.acquiring || d.loader.loads >= maxLoads || now < d.loader.retryAt {
+	if !d.tenure.active || d.loader.loads >= maxLoads || now < d.loader.retryAt {
 		return
 	}
-	if _, ok := d.nextNeed(now); !ok {
+	n, ok := d.nextNeed(now, func(account string) bool { return !d.loader.acquiring[account] })
+	if !ok {
 		return
 	}
-	d.loader.acquiring = true
+	d.loader.acquiring[n.account] = true
 	d.spawn(func(ctx context.Context) message {
 		if d.Permits == nil {
-			return permitted{release: func() {}}
+			return permitted{account: n.account, release: func(bool) {}}
 		}
-		release, err := d.Permits.Acquire(ctx)
-		return permitted{release: release, err: err}
+		release, err := d.Permits.Acquire(ctx, n.account)
+		return permitted{account: n.account, release: release, err: err}
 	})
 }
 
-// nextNeed finds the adapter to load next, in the queue's order, and room for it.
-func (d *Dispatcher) nextNeed(now time.Duration) (need, bool) {
+// nextNeed finds the adapter to load next for the client accounts asked for, in the queue's order, and room for it.
+func (d *Dispatcher) nextNeed(now time.Duration, of func(account string) bool) (need, bool) {
 	var found need
 	ok := false
 	d.queue.Wanted(func(g fuchsiaspoke.Generation, since time.Duration) bool {
-		if !d.slots.NeedLoad(g.Adapter) || now < d.loader.failures[g.Adapter].retryAt {
+		if !of(g.Account) || !d.slots.NeedLoad(g.Adapter) || now < d.loader.failures[g.Adapter].retryAt {
 			return true
 		}
 		found.adapter = g.Adapter
+		found.account = g.Account
 		if d.slots.Free() > 0 {
 			ok = true
 			return false
@@ -118,23 +121,24 @@
 
 // permitted brings a permit, or the failure to get one.
 type permitted struct {
-	release func()
+	account string
+	release func(used bool)
 	err     error
 }
 
 func (m permitted) apply(d *Dispatcher, now time.Duration) {
-	d.loader.acquiring = false
+	delete(d.loader.acquiring, m.account)
 	if m.err != nil {
 		d.loader.retryAt = now + jittered(firstBackoff)
 		return
 	}
-	if !d.tenure.active || d.workers.Err() != nil {
-		m.release()
+	if !d.tenure.active || d.workers.Err() != nil || d.loader.loads >= maxLoads {
+		m.release(false)
 		return
 	}
-	n, ok := d.nextNeed(now)
+	n, ok := d.nextNeed(now, func(account string) bool { return account == m.account })
 	if !ok {
-		m.release()
+		m.release(false)
 		return
 	}
 	if n.evict {
@@ -300,5 +304,5 @@
 // end gives the order's permit back.
 func (o order) end(d *Dispatcher) {
 	d.loader.loads--
-	o.release()
+	o.release(true)
 }
--- a/upstream/manager/manager.go
+++ b/upstream/manager/manager.go
@@ -38,7 +38,7 @@
 }
 
 type permits interface {
-	Acquire(ctx context.Context) (release func(), err error)
+	Acquire(ctx context.Context, account string) (release func(used bool), err error)
 }
 
 type recorder interface {
--- a/vm/admitter/admitter.go
+++ b/vm/admitter/admitter.go
@@ -20,6 +20,8 @@
 	settleTimeout = 2 * time.Second
 	// minWait is the shortest pause before a generation is delivered again.
 	minWait = 50 * time.Millisecond
+	// againSuffix ends the id of a generation's second attempt.
+	againSuffix = "/again"
 	// maxWait is the longest such pause.
 	maxWait = 500 * time.Millisecond
 	// endGrace is how long a request without a part of its answer waits, once it may not go on, for the word of the VM
@@ -32,6 +34,10 @@
 	Update(ctx context.Context, update fuchsiaspoke.TokenUpdate) error
 }
 
+type budget interface {
+	Take() bool
+}
+
 type router interface {
 	Deliver(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error
 }
@@ -50,6 +56,8 @@
 	Router router
 	// Executor runs calls to plain services.
 	Executor executor
+	// Budget bounds the retries.
+	Budget budget
 	// Record puts an event on the time line.
 	Record func(fuchsiaspoke.Event)
 	// Waited is told how long a generation waited for its first part; nil drops it.
@@ -156,7 +164,7 @@
 		}
 	}()
 	began := time.Now()
-	return cause(ctx, a.deliver(ctx, *g, func(chunk fuchsiaspoke.Chunk) error {
+	return cause(ctx, a.attempts(ctx, *g, func(chunk fuchsiaspoke.Chunk) error {
 		if !sent && a.Waited != nil {
 			a.Waited(account, time.Since(began))
 		}
@@ -168,6 +176,21 @@
 	}))
 }
 
+// attempts tries a generation that may have run once more as a new one, with tokens of its own, while its caller has seen nothing.
+func (a *Admitter) attempts(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
+	seen := false
+	follow := func(chunk fuchsiaspoke.Chunk) error {
+		seen = true
+		return sink(chunk)
+	}
+	err := a.deliver(ctx, g, follow)
+	if seen || ctx.Err() != nil || !lost(err) || !a.Budget.Take() {
+		return err
+	}
+	g.RequestID += againSuffix
+	return a.deliver(ctx, g, follow)
+}
+
 // deliver passes the generation on until it ran or its patience is over; while tokens or leases are missing it waits here.
 func (a *Admitter) deliver(ctx context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
 	deadline := time.Now().Add(patience)
@@ -296,6 +319,12 @@
 	return 0, false
 }
 
+// lost reports whether an engine's answer broke off, so that it is not known whether the generation ran.
+func lost(err error) bool {
+	var refusal *fuchsiaspoke.Refusal
+	return errors.As(err, &refusal) && refusal.Run == fuchsiaspoke.RunUnknown && refusal.Code == fuchsiaspoke.CodeUpstreamFailed
+}
+
 // final turns a refusal that was still worth waiting for into the caller's answer.
 func final(err error) error {
 	var refusal *fuchsiaspoke.Refusal
--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -324,7 +324,7 @@
 		Sender: n.balancer, Caller: n.dialer, Find: n.gossiper.Find, Draining: n.draining.Load, Staying: n.staying,
 	}
 	n.admitter = &admitter.Admitter{
-		Catalog: n.relayer.Catalog, Spender: n.spender, Router: n.router, Executor: n.forwarder, Record: n.record,
+		Catalog: n.relayer.Catalog, Spender: n.spender, Router: n.router, Executor: n.forwarder, Budget: &n.budget, Record: n.record,
 		Waited: n.meter.Wait,
 	}
 	n.listener = &listener.Listener{
