Evict wanted adapters only for work that comes before theirs

Change: a wanted adapter is a victim only for work that comes before all that waits for it, in the queue's order. PickVictim takes the adapters to keep.

--- a/upstream/dispatcher/loading.go
+++ b/upstream/dispatcher/loading.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,8 @@
 	acquiring bool
 	loads     int
 	failures  map[fuchsiaspoke.Adapter]failure
+	// ahead lists the adapters with a slot that work before the one to load for waits for.
+	ahead []fuchsiaspoke.Adapter
 	// retryAt keeps permits from being asked for while the budget fails.
 	retryAt time.Duration
 }
@@ -92,8 +95,13 @@
 func (d *Dispatcher) nextNeed(now time.Duration) (need, bool) {
 	var found need
 	ok := false
+	d.loader.ahead = d.loader.ahead[:0]
 	d.queue.Wanted(func(g fuchsiaspoke.Generation, since time.Duration) bool {
-		if !d.slots.NeedLoad(g.Adapter) || now < d.loader.failures[g.Adapter].retryAt {
+		if !d.slots.NeedLoad(g.Adapter) {
+			d.loader.ahead = append(d.loader.ahead, g.Adapter)
+			return true
+		}
+		if now < d.loader.failures[g.Adapter].retryAt {
 			return true
 		}
 		found.adapter = g.Adapter
@@ -102,7 +110,11 @@
 			return false
 		}
 		waited := now - since
-		found.victim, ok = d.slots.PickVictim(now, d.isWanted, waited >= forceAfter)
+		var keep func(fuchsiaspoke.Adapter) bool
+		if waited >= forceAfter {
+			keep = d.isAhead
+		}
+		found.victim, ok = d.slots.PickVictim(now, d.isWanted, keep)
 		found.evict = ok
 		if !ok && waited >= reserveAfter {
 			d.slots.Reserve(now)
@@ -116,6 +128,11 @@
 	return d.queue.Waiting(a) > 0
 }
 
+// isAhead reports whether work that comes before the one to load for waits for the adapter.
+func (d *Dispatcher) isAhead(a fuchsiaspoke.Adapter) bool {
+	return slices.Contains(d.loader.ahead, a)
+}
+
 // permitted brings a permit, or the failure to get one.
 type permitted struct {
 	release func()
--- a/upstream/placer/placer_test.go
+++ b/upstream/placer/placer_test.go
@@ -116,7 +116,7 @@
 	if r.table.NeedLoad(a) {
 		r.loads++
 		if r.table.Free() == 0 {
-			victim, _ := r.table.PickVictim(now, func(fuchsiaspoke.Adapter) bool { return false }, false)
+			victim, _ := r.table.PickVictim(now, func(fuchsiaspoke.Adapter) bool { return false }, nil)
 			r.table.StartUnload(victim)
 			r.table.EndUnload(now, victim, true)
 		}
--- a/upstream/slotter/policy_test.go
+++ b/upstream/slotter/policy_test.go
@@ -66,7 +66,7 @@
 		a := p.draw()
 		if s.NeedLoad(a) {
 			if s.Free() == 0 {
-				victim, _ := s.PickVictim(now, none, false)
+				victim, _ := s.PickVictim(now, none, nil)
 				s.StartUnload(victim)
 				s.EndUnload(now, victim, true)
 			}
--- a/upstream/slotter/slotter.go
+++ b/upstream/slotter/slotter.go
@@ -171,8 +171,9 @@
 	t.loadTaken = taken
 }
 
-// PickVictim picks the adapter to evict for another one; it takes one that waiting work wants only where force is set.
-func (s *Slotter) PickVictim(now time.Duration, wanted func(fuchsiaspoke.Adapter) bool, force bool) (fuchsiaspoke.Adapter, bool) {
+// PickVictim picks the adapter to evict for another one, at best one that no waiting work wants; where keep is set, it may
+// be one that is wanted, unless keep says otherwise.
+func (s *Slotter) PickVictim(now time.Duration, wanted, keep func(fuchsiaspoke.Adapter) bool) (fuchsiaspoke.Adapter, bool) {
 	var best fuchsiaspoke.Adapter
 	bestRank := math.Inf(1)
 	for a, t := range s.slots {
@@ -183,7 +184,7 @@
 		switch {
 		case t.closed:
 			rank = -1 / (1 + rank)
-		case wanted(a) && !force:
+		case wanted(a) && (keep == nil || keep(a)):
 			continue
 		case wanted(a):
 			rank += wantedRank
--- a/upstream/slotter/slotter_test.go
+++ b/upstream/slotter/slotter_test.go
@@ -33,10 +33,10 @@
 	s.StartLoad(first)
 	s.EndLoad(first, time.Second/4, true)
 	s.Use(0, first)
-	_, ok := s.PickVictim(0, none, true)
+	_, ok := s.PickVictim(0, none, none)
 	fmt.Println(s.NeedLoad(second), s.Free(), ok)
 	s.Done(first)
-	victim, _ := s.PickVictim(0, none, true)
+	victim, _ := s.PickVictim(0, none, none)
 	fmt.Println(victim == first)
 	// Output:
 	// true 0 false
@@ -72,7 +72,7 @@
 		if got := s.InUse(a); got != test.inUse {
 			t.Errorf("%s: in use %v", test.name, got)
 		}
-		victim, ok := s.PickVictim(3*time.Second, none, true)
+		victim, ok := s.PickVictim(3*time.Second, none, none)
 		if ok && s.InUse(victim) {
 			t.Errorf("%s: victim %v is in use", test.name, victim)
 		}
@@ -157,7 +157,7 @@
 			s.EndLoad(a, time.Second, r.IntN(5) > 0)
 		case s.NeedLoad(a):
 			wanted := func(a fuchsiaspoke.Adapter) bool { return len(a.Name)%2 == 0 }
-			victim, ok := s.PickVictim(now, wanted, true)
+			victim, ok := s.PickVictim(now, wanted, none)
 			if !ok {
 				s.Reserve(now)
 				break
@@ -165,7 +165,7 @@
 			if uses[victim] > 0 {
 				t.Fatalf("victim %v has %d uses", victim, uses[victim])
 			}
-			if v, ok := s.PickVictim(now, wanted, false); ok && wanted(v) && s.Fits(v) {
+			if v, ok := s.PickVictim(now, wanted, nil); ok && wanted(v) && s.Fits(v) {
 				t.Fatalf("victim %v is wanted", v)
 			}
 			s.StartUnload(victim)
