Hold an adapter after any broken stream

Cause: an acknowledged cancel was taken as the end of the request at the engine, which engines do not promise. Ruled out: trusting the acknowledgement; a hold costs one report at most. Change: each stream without a clean end holds its adapter until a later report shows it idle. Past incarnations are remembered up to 16. Conclusion: no use of an adapter ends on an engine's word alone, but its report.

--- a/upstream/dispatcher/task.go
+++ b/upstream/dispatcher/task.go
@@ -185,7 +185,8 @@
 	if s.seen {
 		t.run = fuchsiaspoke.Ran
 	}
-	result := outcome{sent: true, mayRun: !d.cancelAtEngine(ctx, t)}
+	d.cancelAtEngine(ctx, t)
+	result := outcome{sent: true, mayRun: true}
 	if ctx.Err() == nil && s.sinkErr == nil && !s.seen && t.attempts < maxAttempts {
 		result.again = true
 		return result, nil
@@ -208,11 +209,11 @@
 	return result, nil
 }
 
-// cancelAtEngine stops a broken request and reports whether the engine surely no longer runs it.
-func (d *Dispatcher) cancelAtEngine(ctx context.Context, t *task) bool {
+// cancelAtEngine asks the engine to stop a broken request; only a later report tells that it did.
+func (d *Dispatcher) cancelAtEngine(ctx context.Context, t *task) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	defer cancel()
-	return d.Engine.Cancel(ctx, t.generation.RequestID) == nil
+	_ = d.Engine.Cancel(ctx, t.generation.RequestID)
 }
 
 // failed records and returns the refusal of a granted task, with what is known of its run.
--- a/upstream/slotter/slotter.go
+++ b/upstream/slotter/slotter.go
@@ -13,6 +13,8 @@
 const (
 	// adoptAfter is how long a late report may still show an adapter that was unloaded.
 	adoptAfter = 30 * time.Second
+	// maxPast is how many past incarnations are remembered, to know their late reports.
+	maxPast = 16
 	// clockDrift is the bound on how much faster an engine's clock runs than the process's.
 	clockDrift = 0.01
 )
@@ -269,7 +271,7 @@
 func (s *Slotter) Restarted(report fuchsiaspoke.EngineReport) {
 	s.init()
 	if s.incarnation != "" && s.incarnation != report.Incarnation {
-		s.past = append(s.past, s.incarnation)
+		s.past = append(s.past[max(0, len(s.past)+1-maxPast):], s.incarnation)
 	}
 	s.incarnation = report.Incarnation
 	s.asOf = report.AsOfMillis
