--- a/upstream/slotter/slotter.go
+++ b/upstream/slotter/slotter.go
@@ -13,6 +13,8 @@
 const (
 	// adoptAfter is how long a late report may still show an adapter that was unloaded.
 	adoptAfter = 30 * time.Second
+	// maxPast is how many past incarnations are remembered, to know their late reports.
+	maxPast = 16
 	// clockDrift is the bound on how much faster an engine's clock runs than the process's.
 	clockDrift = 0.01
 )
@@ -171,8 +173,9 @@
 	t.loadTaken = taken
 }
 
-// PickVictim picks the adapter to evict for another one; it takes one that waiting work wants only where force is set.
-func (s *Slotter) PickVictim(now time.Duration, wanted func(fuchsiaspoke.Adapter) bool, force bool) (fuchsiaspoke.Adapter, bool) {
+// PickVictim picks the adapter to evict for another one, at best one that no waiting work wants; where keep is set, it may
+// be one that is wanted, unless keep says otherwise.
+func (s *Slotter) PickVictim(now time.Duration, wanted, keep func(fuchsiaspoke.Adapter) bool) (fuchsiaspoke.Adapter, bool) {
 	var best fuchsiaspoke.Adapter
 	bestRank := math.Inf(1)
 	for a, t := range s.slots {
@@ -183,7 +186,7 @@
 		switch {
 		case t.closed:
 			rank = -1 / (1 + rank)
-		case wanted(a) && !force:
+		case wanted(a) && (keep == nil || keep(a)):
 			continue
 		case wanted(a):
 			rank += wantedRank
@@ -268,7 +271,7 @@
 func (s *Slotter) Restarted(report fuchsiaspoke.EngineReport) {
 	s.init()
 	if s.incarnation != "" && s.incarnation != report.Incarnation {
-		s.past = append(s.past, s.incarnation)
+		s.past = append(s.past[max(0, len(s.past)+1-maxPast):], s.incarnation)
 	}
 	s.incarnation = report.Incarnation
 	s.asOf = report.AsOfMillis
--- a/vm/router/router.go
+++ b/vm/router/router.go
@@ -2,15 +2,14 @@
 package router
 
 import (
-	"cmp"
 	"context"
 	"net/http"
-	"slices"
+	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/placer"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -24,8 +23,6 @@
 	searchInterval = 50 * time.Millisecond
 	// comeBack is when a caller should try again after no engine took the work.
 	comeBack = 2 * time.Second
-	// spillTokens is the lead in queued tokens at which a replica without the adapter is preferred.
-	spillTokens = 4096
 )
 
 type caller interface {
@@ -57,14 +54,17 @@
 	Clock func() time.Duration
 	// Budget bounds the retries.
 	Budget budget
+	// Zone is this VM's availability zone, which is preferred among equal replicas.
+	Zone fuchsiaspoke.Zone
+
+	mu     sync.Mutex
+	placer placer.Placer
 }
 
+// candidate is a replica and the VM that holds its lease.
 type candidate struct {
-	upstream fuchsiaspoke.Upstream
+	upstream string
 	holder   fuchsiaspoke.VM
-	state    fuchsiaspoke.EngineState
-	score    uint64
-	resident bool
 }
 
 // Deliver sends the generation to an engine and hands each part of the answer to sink.
@@ -87,7 +87,7 @@
 			}
 			continue
 		}
-		tried[next.upstream.ID] = true
+		tried[next.upstream] = true
 		err := r.send(ctx, next, g, sink)
 		if err == nil {
 			return nil
@@ -103,9 +103,9 @@
 
 func (r *Router) send(ctx context.Context, to candidate, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
 	if to.holder.ID == r.Self {
-		return r.Local.Submit(ctx, to.upstream.ID, g, sink)
+		return r.Local.Submit(ctx, to.upstream, g, sink)
 	}
-	err := r.Caller.Call(ctx, to.holder, Method, fuchsiaspoke.Placement{Upstream: to.upstream.ID, Generation: g}, func(body cbor.RawMessage) error {
+	err := r.Caller.Call(ctx, to.holder, Method, fuchsiaspoke.Placement{Upstream: to.upstream, Generation: g}, func(body cbor.RawMessage) error {
 		var chunk fuchsiaspoke.Chunk
 		if err := cbor.Unmarshal(body, &chunk); err != nil {
 			return errors.Wrap(err, "decode part of answer")
@@ -119,58 +119,35 @@
 }
 
 func (r *Router) choose(g fuchsiaspoke.Generation, tried map[string]bool) (candidate, bool) {
-	found := r.candidates(g, tried)
-	if len(found) == 0 {
-		return candidate{}, false
-	}
-	slices.SortFunc(found, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
-	best := found[0]
-	for _, other := range found[1:] {
-		if better(other, best) {
-			best = other
-		}
-	}
-	return best, true
+	states, holders := r.replicas(tried)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.placer.Zone = r.Zone
+	id, ok := r.placer.Pick(r.Clock(), g, states)
+	return candidate{upstream: id, holder: holders[id]}, ok
 }
 
-func (r *Router) candidates(g fuchsiaspoke.Generation, tried map[string]bool) []candidate {
+// replicas are the engines that some live VM says it holds, and those VMs.
+func (r *Router) replicas(tried map[string]bool) ([]fuchsiaspoke.UpstreamState, map[string]fuchsiaspoke.VM) {
 	upstreams := make(map[string]fuchsiaspoke.Upstream)
 	for _, u := range r.Engines() {
-		if !u.Leaving && u.BaseModel == g.BaseModel {
-			upstreams[u.ID] = u
-		}
+		upstreams[u.ID] = u
 	}
-	var found []candidate
+	var states []fuchsiaspoke.UpstreamState
+	holders := make(map[string]fuchsiaspoke.VM)
 	for _, peer := range r.Live() {
-		if peer.Draining {
-			continue
-		}
 		for _, state := range peer.Engines {
 			u, ok := upstreams[state.Upstream]
-			if !ok || tried[u.ID] {
+			if _, twice := holders[u.ID]; !ok || twice || tried[u.ID] {
 				continue
 			}
-			found = append(found, candidate{
-				upstream: u,
-				holder:   peer.VM,
-				state:    state,
-				score:    xxhash.Sum64String(g.Adapter.Name + "\x00" + u.ID),
-				resident: slices.Contains(state.Resident, g.Adapter),
+			holders[u.ID] = peer.VM
+			states = append(states, fuchsiaspoke.UpstreamState{
+				Upstream: u, QueuedTokens: state.QueuedTokens, Running: state.Running, Resident: state.Resident,
 			})
 		}
 	}
-	return found
-}
-
-// better reports whether a beats b, where b precedes a in the adapter's own order of replicas.
-func better(a, b candidate) bool {
-	if a.resident == b.resident {
-		return a.state.QueuedTokens+spillTokens < b.state.QueuedTokens
-	}
-	if a.resident {
-		return a.state.QueuedTokens < b.state.QueuedTokens+spillTokens
-	}
-	return a.state.QueuedTokens+spillTokens < b.state.QueuedTokens
+	return states, holders
 }
 
 func classify(err error, to candidate) error {
@@ -182,11 +159,11 @@
 		return refusal
 	}
 	if errors.Is(err, dialer.ErrNotSent) {
-		return noUpstream("the VM that serves upstream " + to.upstream.ID + " cannot be reached")
+		return noUpstream("the VM that serves upstream " + to.upstream + " cannot be reached")
 	}
 	return &fuchsiaspoke.Refusal{
 		Code:       fuchsiaspoke.CodeUpstreamFailed,
-		Message:    "the answer of upstream " + to.upstream.ID + " was lost: " + err.Error(),
+		Message:    "the answer of upstream " + to.upstream + " was lost: " + err.Error(),
 		Run:        fuchsiaspoke.RunUnknown,
 		RetryAfter: time.Second,
 		Status:     http.StatusBadGateway,
--- a/vm/router/router_test.go
+++ b/vm/router/router_test.go
@@ -34,7 +34,7 @@
 
 // TestDeliverGoesElsewhereOnlyWhereNothingWasSent has the first holder unreachable, before and after the request left.
 func TestDeliverGoesElsewhereOnlyWhereNothingWasSent(t *testing.T) {
-	engines := []fuchsiaspoke.Upstream{{ID: "engine_0", BaseModel: "base"}, {ID: "engine_1", BaseModel: "base"}}
+	engines := []fuchsiaspoke.Upstream{{Kind: fuchsiaspoke.EngineUpstream, ID: "engine_0", BaseModel: "base"}, {Kind: fuchsiaspoke.EngineUpstream, ID: "engine_1", BaseModel: "base"}}
 	live := []fuchsiaspoke.PeerState{
 		{VM: fuchsiaspoke.VM{ID: "vm_0"}, Engines: []fuchsiaspoke.EngineState{{Upstream: "engine_0"}}},
 		{VM: fuchsiaspoke.VM{ID: "vm_1"}, Engines: []fuchsiaspoke.EngineState{{Upstream: "engine_1"}}},
--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -367,6 +367,7 @@
 	n.router = &router.Router{
 		Self: n.settings.VM.ID, Local: n.manager, Caller: n.dialer, Engines: n.engines,
 		Live: n.gossiper.Live, Clock: n.timer.Now, Budget: &n.budget,
+		Zone: n.settings.VM.Zone,
 	}
 	n.balancer = &balancer.Balancer{
 		Services: n.services, Zone: n.settings.VM.Zone, Spender: n.spender, Check: n.check,
