Bound each call of the bench and never send a generation twice

Ruled out: a shorter client timeout alone, which would have tripled all the same. Change: a caller waits 30 s over all its tries, only a failed dial sends a generation elsewhere, the baseline's load lock heeds patience.

--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -58,8 +58,8 @@
 // replica is one engine as this VM knows it.
 type replica struct {
 	driver *driver.Driver
-	// loading is held through a load, so that requests for resident adapters pass it.
-	loading sync.Mutex
+	// loading has room for the one request that loads; others wait, and requests for resident adapters pass.
+	loading chan struct{}
 
 	mu     sync.Mutex
 	used   map[fuchsiaspoke.Adapter]time.Time
@@ -144,8 +144,8 @@
 			continue
 		}
 		m.engines = append(m.engines, &replica{
-			driver: &driver.Driver{Upstream: u},
-			used:   make(map[fuchsiaspoke.Adapter]time.Time), loaded: make(map[fuchsiaspoke.Adapter]bool),
+			driver: &driver.Driver{Upstream: u}, loading: make(chan struct{}, 1),
+			used: make(map[fuchsiaspoke.Adapter]time.Time), loaded: make(map[fuchsiaspoke.Adapter]bool),
 		})
 	}
 	for _, p := range profiles {
@@ -271,8 +271,14 @@
 	if e.use(adapter) {
 		return nil
 	}
-	e.loading.Lock()
-	defer e.loading.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	select {
+	case e.loading <- struct{}{}:
+		defer func() { <-e.loading }()
+	case <-ctx.Done():
+		return &fuchsiaspoke.Refusal{Code: fuchsiaspoke.CodeDeadline, Run: fuchsiaspoke.NotRun, Status: http.StatusGatewayTimeout}
+	}
 	if e.use(adapter) {
 		return nil
 	}
--- a/bench/generator/call.go
+++ b/bench/generator/call.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -17,7 +18,8 @@
 )
 
 const (
-	callTimeout   = 60 * time.Second
+	// callTimeout is how long a caller waits for the end of its answer.
+	callTimeout   = 30 * time.Second
 	maxTries      = 3
 	paymentTokens = 1
 	bytesPerToken = 4
@@ -87,7 +89,8 @@
 	return got, err
 }
 
-// do sends a call to the preferred VM, and to the next ones where a VM can't be reached.
+// do sends a call to the preferred VM, and to the next ones where a VM can't be reached; a generation that may have
+// reached its VM is not sent again.
 func (g *Generator) do(ctx context.Context, a arrival, method, path, body string, header map[string]string) (*http.Response, error) {
 	var last error
 	addresses := g.addresses(ctx, a.account)
@@ -106,6 +109,11 @@
 			return resp, nil
 		}
 		last = err
+		var failed *net.OpError
+		mayHaveArrived := !errors.As(err, &failed) || failed.Op != "dial"
+		if ctx.Err() != nil || mayHaveArrived && a.kind == "generation" {
+			break
+		}
 	}
 	return nil, errors.Wrap(last, "call a VM")
 }
--- a/bench/generator/generator.go
+++ b/bench/generator/generator.go
@@ -43,7 +43,7 @@
 func (g *Generator) Run(ctx context.Context, began time.Time) []outcome.Outcome {
 	transport := &http.Transport{MaxIdleConnsPerHost: 256}
 	defer transport.CloseIdleConnections()
-	g.client = &http.Client{Transport: transport, Timeout: callTimeout}
+	g.client = &http.Client{Transport: transport}
 	arrivals := g.arrivals()
 	// Every request has its place, so that no sender waits for the reader.
 	done := make(chan outcome.Outcome, len(arrivals))
@@ -104,6 +104,8 @@
 }
 
 func (g *Generator) send(ctx context.Context, a arrival, intended time.Time) outcome.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	out := outcome.Outcome{Account: a.account, Kind: a.kind, Intended: intended}
 	switch a.kind {
 	case "generation":
