--- a/bench/tenant/tenant.go
+++ b/bench/tenant/tenant.go
@@ -8,6 +8,11 @@
 	Account fuchsiaspoke.ClientAccount
 	// GenerationsPerSecond, PaymentsPerSecond and StatusesPerSecond are the demand; payments run at most once.
 	GenerationsPerSecond, PaymentsPerSecond, StatusesPerSecond float64
-	// Floods marks the client account that sends several times its rate.
-	Floods bool
+	// FloodFactor multiplies the generations from the end of the warm-up on; zero stands for no flood.
+	FloodFactor float64
+}
+
+// Floods reports whether the client account sends several times its rate.
+func (t Tenant) Floods() bool {
+	return t.FloodFactor > 0
 }
