--- a/proof/profile_test.go
+++ b/proof/profile_test.go
@@ -16,8 +16,15 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/standin/fault"
 )
 
-// inForceWithin is how long an accepted profile may take to be in force on all VMs.
-const inForceWithin = 3 * time.Second
+const (
+	// inForceWithin is how long an accepted profile may take to be in force on all VMs.
+	inForceWithin = 3 * time.Second
+	// observersOfAnswers is how many callers ask each VM for answers.
+	observersOfAnswers = 3
+)
+
+// hastyClient gives up soon, so that observers go on where nothing answers.
+var hastyClient = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // publishVersion publishes the profiles with guide_0 at the version; the platform's revision is returned.
 func (f *fleet) publishVersion(version int64) int64 {
@@ -137,56 +144,46 @@
 	f.checkNoWriteAndNoKey()
 }
 
+// forced is what was in force on all VMs at one time; it only rises.
+type forced struct {
+	version, revision atomic.Int64
+}
+
 // TestVersionsNeverGoBackUnderFailure publishes a stream of versions under faults while observers ask every VM.
 func TestVersionsNeverGoBackUnderFailure(t *testing.T) {
-	f := newFleet(t, shape{vms: 4, engines: 2})
-	random := rand.New(rand.NewSource(*seed))
-	var published, everywhere atomic.Int64
-	published.Store(1)
-	everywhere.Store(1)
+	f := newFleet(t, shape{vms: 5, engines: 3})
+	everywhere := &forced{}
 	stop := make(chan struct{})
 	var observers sync.WaitGroup
-	var answers atomic.Int64
-	for i := range f.vms {
-		observers.Go(func() { f.observe(i, &everywhere, &answers, stop) })
+	var answers, states atomic.Int64
+	for _, m := range f.vms {
+		for range observersOfAnswers {
+			observers.Go(func() { f.observeAnswers(m, everywhere, &answers, stop) })
+		}
+		observers.Go(func() { f.observeStates(m, everywhere, &states, stop) })
 	}
-	publisher := make(chan int, 1)
-	go func() { publisher <- f.publishStream(&published, &everywhere, stop) }()
-	f.disturbPlatform(random, time.Duration(*seconds)*time.Second)
+	publisher := make(chan int64, 1)
+	go func() { publisher <- f.publishStream(everywhere, stop) }()
+	f.disturbPlatform(rand.New(rand.NewSource(*seed)), time.Duration(*seconds)*time.Second)
 	f.world.Platform.SetFault(fault.Fault{})
-	f.awaitRevision(f.world.Platform.Revision(), f.vms...)
+	time.Sleep(inForceWithin)
 	close(stop)
 	observers.Wait()
 	versions := <-publisher
-	t.Logf("seed %d: %d versions published, %d known in force everywhere, %d answers compared", *seed, versions, everywhere.Load(), answers.Load())
-	if answers.Load() == 0 || everywhere.Load() == 1 {
+	f.awaitRevision(f.world.Platform.Revision(), f.vms...)
+	t.Logf("seed %d: %d versions published, up to %d seen in force everywhere, %d answers and %d states compared",
+		*seed, versions, everywhere.version.Load(), answers.Load(), states.Load())
+	if answers.Load() == 0 || states.Load() == 0 || everywhere.version.Load() == 0 {
 		t.Error("nothing was observed")
 	}
 	f.checkEngines()
 }
 
-// observe asks one VM again and again; a request that began after a version was in force everywhere must not get an older one.
-func (f *fleet) observe(i int, everywhere, answers *atomic.Int64, stop chan struct{}) {
-	last, lastRevision, incarnation := int64(0), int64(0), ""
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(10 * time.Millisecond):
-		}
-		m := f.vms[i]
-		floor := everywhere.Load()
-		if status, err := f.status(m); err == nil {
-			revision := status.Documents[string(fuchsiaspoke.ProfilesDocument)]
-			if status.Self.Incarnation != incarnation {
-				incarnation, lastRevision, last = status.Self.Incarnation, 0, 0
-			}
-			if revision < lastRevision {
-				f.t.Errorf("%s went back from revision %d to %d", m.vm.ID, lastRevision, revision)
-			}
-			lastRevision = revision
-		}
-		got := f.version(shortClient, m)
+// observeAnswers asks one VM for answers; one whose request began after a version was in force everywhere must not be older.
+func (f *fleet) observeAnswers(m *machine, everywhere *forced, answers *atomic.Int64, stop chan struct{}) {
+	for open(stop) {
+		floor := everywhere.version.Load()
+		got := f.version(hastyClient, m)
 		if got == 0 {
 			continue
 		}
@@ -194,33 +191,60 @@
 		if got < floor {
 			f.t.Errorf("%s answered with version %d after %d was in force everywhere", m.vm.ID, got, floor)
 		}
-		if got < last {
-			f.t.Errorf("%s answered with version %d after %d", m.vm.ID, got, last)
+	}
+}
+
+// observeStates asks one VM what is in force: it never goes back in one process, and one that is ready is never behind.
+func (f *fleet) observeStates(m *machine, everywhere *forced, states *atomic.Int64, stop chan struct{}) {
+	last, incarnation := int64(0), ""
+	for open(stop) {
+		floor := everywhere.revision.Load()
+		status, err := f.status(m)
+		if err != nil {
+			continue
+		}
+		states.Add(1)
+		revision := status.Documents[string(fuchsiaspoke.ProfilesDocument)]
+		if status.Self.Incarnation != incarnation {
+			incarnation, last = status.Self.Incarnation, 0
+		}
+		if revision < last {
+			f.t.Errorf("%s went back from revision %d to %d", m.vm.ID, last, revision)
 		}
-		last = got
+		if status.Self.Ready && revision < floor {
+			f.t.Errorf("%s is ready with revision %d after %d was in force everywhere", m.vm.ID, revision, floor)
+		}
+		last = revision
+	}
+}
+
+// open waits a little and reports whether the observation goes on.
+func open(stop chan struct{}) bool {
+	select {
+	case <-stop:
+		return false
+	case <-time.After(10 * time.Millisecond):
+		return true
 	}
 }
 
 // publishStream publishes rising versions and notes the ones that every VM had in force at one time.
-func (f *fleet) publishStream(published, everywhere *atomic.Int64, stop chan struct{}) int {
-	for {
-		select {
-		case <-stop:
-			return int(published.Load())
-		case <-time.After(150 * time.Millisecond):
-		}
-		version := published.Add(1)
+func (f *fleet) publishStream(everywhere *forced, stop chan struct{}) int64 {
+	for version := int64(2); ; version++ {
 		revision := f.publishVersion(version)
-		for range 5 {
+		for range 12 {
+			if !open(stop) {
+				return version
+			}
 			all := true
 			for _, m := range f.vms {
-				all = all && f.revision(m) == revision
+				all = all && f.revision(m) >= revision
 			}
 			if all {
-				everywhere.Store(version)
-				break
+				everywhere.revision.Store(revision)
+				everywhere.version.Store(version)
 			}
-			time.Sleep(50 * time.Millisecond)
+			time.Sleep(40 * time.Millisecond)
 		}
 	}
 }
--- a/proof/withdraw_test.go
+++ b/proof/withdraw_test.go
@@ -86,9 +86,9 @@
 		return &engine.Engine{Batch: 1, StepBase: 120 * time.Millisecond}
 	}})
 	f.world.Services[0].RunTime = 2 * time.Second
-	open := keepAlive(t)
+	kept := keepAlive(t)
 	for _, m := range f.vms {
-		if got := m.do(open, http.MethodGet, "/v1/models", "newcomers", ""); got.status != http.StatusOK {
+		if got := m.do(kept, http.MethodGet, "/v1/models", "newcomers", ""); got.status != http.StatusOK {
 			t.Fatalf("%s: %d %s", m.vm.ID, got.status, got.body)
 		}
 	}
@@ -117,7 +117,7 @@
 	worst := time.Duration(0)
 	for _, m := range f.vms {
 		f.eventually(withdrawnWithin, "the key is refused at "+m.vm.ID, func() bool {
-			got := m.do(open, http.MethodGet, "/v1/services/booking/status/1", "newcomers", "")
+			got := m.do(kept, http.MethodGet, "/v1/services/booking/status/1", "newcomers", "")
 			code, run := got.refusal()
 			return got.status == http.StatusUnauthorized && code == string(fuchsiaspoke.CodeKeyWithdrawn) && run == string(fuchsiaspoke.NotRun)
 		})
@@ -205,10 +205,10 @@
 	var gone []string
 	for i, m := range f.vms[:2] {
 		account := names[i]
-		open := make([]*http.Client, 6)
-		for n := range open {
-			open[n] = keepAlive(t)
-			if got := m.do(open[n], http.MethodGet, "/v1/services/booking/status/0", account, ""); got.status != http.StatusOK {
+		kept := make([]*http.Client, 6)
+		for n := range kept {
+			kept[n] = keepAlive(t)
+			if got := m.do(kept[n], http.MethodGet, "/v1/services/booking/status/0", account, ""); got.status != http.StatusOK {
 				t.Fatalf("%s: %d %s %v", m.vm.ID, got.status, got.body, got.err)
 			}
 		}
@@ -217,16 +217,16 @@
 		gone = append(gone, account)
 		f.publishKeys(list, gone...)
 		var wg sync.WaitGroup
-		got := make([]answer, len(open))
-		for n := range open {
+		got := make([]answer, len(kept))
+		for n := range kept {
 			wg.Go(func() {
 				switch n {
 				case 0:
-					got[n] = m.do(open[n], http.MethodPost, "/v1/services/booking/fees", account, "{}", "Idempotency-Key", key)
+					got[n] = m.do(kept[n], http.MethodPost, "/v1/services/booking/fees", account, "{}", "Idempotency-Key", key)
 				case 1:
-					got[n] = m.do(open[n], http.MethodPost, "/v1/completions", account, completion("guide_1", 4))
+					got[n] = m.do(kept[n], http.MethodPost, "/v1/completions", account, completion("guide_1", 4))
 				default:
-					got[n] = m.do(open[n], http.MethodGet, fmt.Sprintf("/v1/services/booking/status/late_%d", n), account, "")
+					got[n] = m.do(kept[n], http.MethodGet, fmt.Sprintf("/v1/services/booking/status/late_%d", n), account, "")
 				}
 			})
 		}
@@ -312,10 +312,14 @@
 	list := accounts("newcomers", "hosts")
 	f := newFleet(t, shape{vms: 3, engines: 1, services: 1, accounts: list})
 	f.profile = append(f.profile,
-		fuchsiaspoke.Profile{Name: "private", ClientAccounts: []string{"hosts"}, BaseModel: "base",
-			Adapter: fuchsiaspoke.Adapter{Name: "private", Version: 1}, MaxOutputTokens: 8},
-		fuchsiaspoke.Profile{Name: "open", Open: true, OpenAccount: "hosts", BaseModel: "base",
-			Adapter: fuchsiaspoke.Adapter{Name: "open", Version: 1}, MaxOutputTokens: 8})
+		fuchsiaspoke.Profile{
+			Name: "private", ClientAccounts: []string{"hosts"}, BaseModel: "base",
+			Adapter: fuchsiaspoke.Adapter{Name: "private", Version: 1}, MaxOutputTokens: 8,
+		},
+		fuchsiaspoke.Profile{
+			Name: "open", Open: true, OpenAccount: "hosts", BaseModel: "base",
+			Adapter: fuchsiaspoke.Adapter{Name: "open", Version: 1}, MaxOutputTokens: 8,
+		})
 	must(t, f.world.PublishProfiles(f.profile))
 	for _, m := range f.vms {
 		f.eventually(withdrawnWithin, "the profiles are in force", func() bool {
@@ -395,7 +399,7 @@
 	go func() {
 		_, _ = io.WriteString(w, "{}")
 		r.Trailer.Set("X-Key", key)
-		w.Close()
+		_ = w.Close()
 	}()
 	resp, err := client.Do(r)
 	must(f.t, err)
