Act on what is in force only while it is known to be fresh

Cause: a VM that was suspended across a withdrawal served requests that waited in its sockets as it woke, before its peers could tell it of the withdrawal: the last check before a send read the documents in force, however old. Ruled out: leases (the account's and the engine's were on other VMs, whose last check held for generations; the calls of plain services are checked by the entry VM alone). Change: each VM notes when the last question was sent whose answer, from a peer or the platform, left nothing newer to fetch. 2.5 s after that, by the clock that goes on while suspended, it is not ready and its last check refuses, not run, as configuration_stale. The only VM of a fleet is exempt. Assumption: not all peers that answer were suspended or cut off along with it.

--- a/proof/withdraw_test.go
+++ b/proof/withdraw_test.go
@@ -213,6 +213,8 @@
 			}
 		}
 		key := f.issue(m, account)
+		// The second one hears of the withdrawal from its peers alone.
+		m.platform.set(i == 1)
 		f.signal(m, syscall.SIGSTOP)
 		gone = append(gone, account)
 		f.publishKeys(list, gone...)
--- a/refusal.go
+++ b/refusal.go
@@ -31,6 +31,7 @@
 	CodeUpstreamFailed      Code = "upstream_failed"
 	CodeDeadline            Code = "deadline_exceeded"
 	CodeStarting            Code = "starting"
+	CodeConfigurationStale  Code = "configuration_stale"
 	CodeDraining            Code = "draining"
 	CodeKeyNotIssued        Code = "idempotency_key_not_issued"
 	CodeKeyRequired         Code = "idempotency_key_required"
--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,8 @@
 	councilSize = 7
 	// abandonAfter is how long a VM that the platform no longer lists must be silent before its promises count as gone.
 	abandonAfter = 30 * time.Second
+	// freshFor is how long a VM acts on what it has in force without hearing that it is still so.
+	freshFor = 2500 * time.Millisecond
 	// leaseGroup names the one group of resources that today's fleets need.
 	leaseGroup = "group_0"
 	// watchersPerZone is the number of VMs of an availability zone that watch the platform.
@@ -168,16 +171,18 @@
 		Watches:  n.watches,
 		Changed:  n.changed,
 		Refused:  n.refused,
+		Clock:    n.timer.Now,
 		Fault:    n.fault,
 	}
 	n.gossiper = &gossiper.Gossiper{
-		Self:   n.settings.VM,
-		Caller: n.dialer,
-		State:  n.state,
-		Listed: func() []fuchsiaspoke.VM { return n.relayer.Catalog().VMList().VMs },
-		Heard:  n.relayer.Notice,
-		Clock:  n.timer.Now,
-		Fault:  n.fault,
+		Self:     n.settings.VM,
+		Caller:   n.dialer,
+		State:    n.state,
+		Listed:   func() []fuchsiaspoke.VM { return n.relayer.Catalog().VMList().VMs },
+		Heard:    n.relayer.Notice,
+		Answered: n.relayer.Confirm,
+		Clock:    n.timer.Now,
+		Fault:    n.fault,
 	}
 	n.holder = &holder.Holder{
 		Leaser: &leaser.Leaser{
@@ -275,7 +280,7 @@
 }
 
 func (n *node) ready() bool {
-	return n.relayer.Ready() && n.holder.Ready()
+	return n.relayer.Ready() && n.holder.Ready() && n.fresh()
 }
 
 func (n *node) changed(c catalog.Catalog, doc fuchsiaspoke.Document) {
@@ -307,8 +312,28 @@
 
 // check is the last look at the key and the profile before anything is sent.
 func (n *node) check(keyHash, profile string) error {
-	_, _, err := authenticator.Authenticator{}.Authorize(n.relayer.Catalog(), keyHash, profile)
-	return err
+	// What is in force is read after it is known to be fresh, so that it can't be older.
+	fresh := n.fresh()
+	if _, _, err := (authenticator.Authenticator{}).Authorize(n.relayer.Catalog(), keyHash, profile); err != nil {
+		return err
+	}
+	if !fresh {
+		return stale()
+	}
+	return nil
+}
+
+// fresh reports whether this VM heard lately that what it has in force is still so; the only VM of a fleet has no peer to ask.
+func (n *node) fresh() bool {
+	return len(n.relayer.Catalog().VMList().VMs) <= 1 || n.timer.Now()-n.relayer.Confirmed() < freshFor
+}
+
+func stale() error {
+	return &fuchsiaspoke.Refusal{
+		Code:    fuchsiaspoke.CodeConfigurationStale,
+		Message: "this VM has not heard lately whether the key and the profile are still in force",
+		Run:     fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable, RetryAfter: time.Second,
+	}
 }
 
 func (n *node) buildCallers(ring keyring.Keyring) error {
--- a/zone/gossiper/gossiper.go
+++ b/zone/gossiper/gossiper.go
@@ -44,7 +44,9 @@
 	Listed func() []fuchsiaspoke.VM
 	// Heard is told of every state that arrives; it must not block.
 	Heard func(fuchsiaspoke.PeerState)
-	// Clock returns the time since the process started.
+	// Answered is told of each answer to a heartbeat of this VM, and when the heartbeat was sent; it must not block.
+	Answered func(state fuchsiaspoke.PeerState, sent time.Duration)
+	// Clock returns the time since the process started; it goes on while the process is suspended.
 	Clock func() time.Duration
 	// Fault is told of failed heartbeats.
 	Fault func(error)
@@ -177,12 +179,16 @@
 func (g *Gossiper) exchange(ctx context.Context, vm fuchsiaspoke.VM) {
 	ctx, cancel := context.WithTimeout(ctx, liveFor)
 	defer cancel()
+	sent := g.Clock()
 	err := g.Caller.Call(ctx, vm, Method, g.State(), func(body cbor.RawMessage) error {
 		var state fuchsiaspoke.PeerState
 		if err := cbor.Unmarshal(body, &state); err != nil {
 			return errors.Wrap(err, "decode heartbeat")
 		}
 		g.hear(state)
+		if g.Answered != nil {
+			g.Answered(state, sent)
+		}
 		return nil
 	})
 	if err != nil && g.Fault != nil {
--- a/zone/relayer/relayer.go
+++ b/zone/relayer/relayer.go
@@ -56,6 +56,8 @@
 	Changed func(catalog.Catalog, fuchsiaspoke.Document)
 	// Refused is told of each document that was refused.
 	Refused func(fuchsiaspoke.Document, error)
+	// Clock returns the time since the process started; it goes on while the process is suspended.
+	Clock func() time.Duration
 	// Fault is told of failed calls to the platform and to peers.
 	Fault func(error)
 
@@ -63,8 +65,10 @@
 	mu      sync.Mutex
 	read    atomic.Bool
 	heard   atomic.Bool
-	once    sync.Once
-	gaps    chan fuchsiaspoke.VM
+	// confirmed is when the last question was sent whose answer left nothing to fetch, as a time.Duration.
+	confirmed atomic.Int64
+	once      sync.Once
+	gaps      chan fuchsiaspoke.VM
 	// pending are the announced revisions that have not been read; only Run touches it.
 	pending map[string]int64
 }
@@ -82,6 +86,28 @@
 	return len(r.Catalog().Documents()) > 0 && (r.read.Load() || r.heard.Load())
 }
 
+// Confirmed returns when the last question was sent whose answer showed that nothing newer is known to the platform or a
+// peer; it is the time of the question, since an answer may have waited while this process was suspended.
+func (r *Relayer) Confirmed() time.Duration {
+	return time.Duration(r.confirmed.Load())
+}
+
+// Confirm takes a peer's answer to a heartbeat sent at that time.
+func (r *Relayer) Confirm(state fuchsiaspoke.PeerState, sent time.Duration) {
+	if state.Digest == r.Catalog().Digest() {
+		r.confirm(sent)
+	}
+}
+
+func (r *Relayer) confirm(sent time.Duration) {
+	for {
+		old := r.confirmed.Load()
+		if old >= int64(sent) || r.confirmed.CompareAndSwap(old, int64(sent)) {
+			return
+		}
+	}
+}
+
 // Run follows the platform until the context ends.
 func (r *Relayer) Run(ctx context.Context) error {
 	r.init()
@@ -171,6 +197,7 @@
 	if r.Watches() && r.read.Load() && len(r.pending) == 0 {
 		wait = watchWait
 	}
+	sent := r.Clock()
 	revision, changed, err := r.Platform.Changes(ctx, after, wait)
 	if err != nil {
 		return after, err
@@ -181,7 +208,12 @@
 	for name, announced := range changed {
 		r.pending[name] = max(r.pending[name], announced)
 	}
-	return max(after, revision), r.readPending(ctx)
+	err = r.readPending(ctx)
+	// A platform that answers with less than this VM has seen is stale and confirms nothing.
+	if err == nil && len(r.pending) == 0 && revision >= r.Catalog().Digest().Highest {
+		r.confirm(sent)
+	}
+	return max(after, revision), err
 }
 
 // readPending reads each announced document once; one that the platform gives in an older revision stays pending.
@@ -228,11 +260,12 @@
 func (r *Relayer) fetch(ctx context.Context, vm fuchsiaspoke.VM) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	sent := r.Clock()
 	have := make(map[string]int64)
 	for _, doc := range r.Catalog().Documents() {
 		have[doc.Name] = doc.Revision
 	}
-	return r.Caller.Call(ctx, vm, Method, have, func(body cbor.RawMessage) error {
+	err := r.Caller.Call(ctx, vm, Method, have, func(body cbor.RawMessage) error {
 		var doc fuchsiaspoke.Document
 		if err := cbor.Unmarshal(body, &doc); err != nil {
 			return errors.Wrap(err, "decode document")
@@ -240,6 +273,10 @@
 		r.Offer(doc)
 		return nil
 	})
+	if err == nil {
+		r.confirm(sent)
+	}
+	return err
 }
 
 func (r *Relayer) fault(err error) {
