--- a/proof/leaving_test.go
+++ b/proof/leaving_test.go
@@ -13,8 +13,12 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/standin/record"
 )
 
-// leftWithin is how long an upstream that is published as leaving may still get new work.
-const leftWithin = 3 * time.Second
+const (
+	// leftWithin is how long an upstream that is published as leaving may still get new work.
+	leftWithin = 3 * time.Second
+	// loadedGuides is the number of profiles that are asked for.
+	loadedGuides = 4
+)
 
 // publishLeaving publishes the upstreams with the ones named as leaving.
 func (f *fleet) publishLeaving(names ...string) {
@@ -41,7 +45,7 @@
 				default:
 				}
 				m := f.vms[random.Intn(len(f.vms))]
-				m.do(shortClient, http.MethodPost, "/v1/completions", "newcomers", completion(fmt.Sprintf("guide_%d", random.Intn(4)), 3))
+				m.do(shortClient, http.MethodPost, "/v1/completions", "newcomers", completion(fmt.Sprintf("guide_%d", random.Intn(loadedGuides)), 3))
 				m.do(shortClient, http.MethodGet, "/v1/services/booking/status/1", "newcomers", "")
 			}
 		})
@@ -77,10 +81,10 @@
 	f.eventually(10*time.Second, "both engines work", func() bool {
 		return begun(leaving.Records(), time.Time{}, time.Now()) > 3 && begun(f.world.Engines[1].Records(), time.Time{}, time.Now()) > 0
 	})
-	var streams [3]running
+	var streams [8]running
 	var wg sync.WaitGroup
 	for i := range streams {
-		wg.Go(func() { streams[i] = f.vms[i].stream("hosts", fmt.Sprintf("guide_%d", i)) })
+		wg.Go(func() { streams[i] = f.vms[i%len(f.vms)].stream("hosts", fmt.Sprintf("guide_%d", i%loadedGuides)) })
 	}
 	time.Sleep(400 * time.Millisecond)
 	f.publishLeaving("engine_0", "service_0")
