Give the proofs' VMs ports that outgoing connections don't take

Change: ports come from 12000 to 31999, below the range of outgoing connections here (32768 to 60999).

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -10,6 +10,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -29,6 +30,9 @@
 const (
 	fleetKey    = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 	readyWithin = 30 * time.Second
+	// lowestPort and highestPort bound the ports of VMs.
+	lowestPort  = 12_000
+	highestPort = 32_000
 )
 
 var (
@@ -317,17 +321,25 @@
 }
 
 func freeTCP(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return free(t, func(address string) (io.Closer, error) { return net.Listen("tcp", address) })
 }
 
 func freeUDP(t *testing.T) string {
-	l, err := net.ListenPacket("udp", "127.0.0.1:0")
-	must(t, err)
-	defer l.Close()
-	return l.LocalAddr().String()
+	return free(t, func(address string) (io.Closer, error) { return net.ListenPacket("udp", address) })
+}
+
+// free finds a port below those that the kernel gives to outgoing connections, which would take the port of a VM that is
+// down or not yet up.
+func free(t *testing.T, listen func(address string) (io.Closer, error)) string {
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.Intn(highestPort-lowestPort))
+		if l, err := listen(address); err == nil {
+			must(t, l.Close())
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 func must(t *testing.T, err error) {
