--- a/proof/profile_test.go
+++ b/proof/profile_test.go
@@ -96,7 +96,7 @@
 		f.world.Platform.SetFault(bad)
 		m := f.vms[2]
 		f.signal(m, syscall.SIGKILL)
-		<-m.exited
+		f.t.Logf("ended %s: %v", m.vm.ID, <-m.exited)
 		f.start(m)
 		f.awaitReady(m)
 		if got := f.revision(m); got != newest {
@@ -259,7 +259,7 @@
 		switch random.Intn(4) {
 		case 0:
 			f.signal(m, syscall.SIGKILL)
-			<-m.exited
+			f.t.Logf("ended %s: %v", m.vm.ID, <-m.exited)
 			f.start(m)
 			time.Sleep(between(random, 500, 3500))
 		case 1:
@@ -288,7 +288,7 @@
 	f.world.Platform.SetFault(fault.Fault{StaleAt: stale})
 	m := f.vms[0]
 	f.signal(m, syscall.SIGKILL)
-	<-m.exited
+	f.t.Logf("ended %s: %v", m.vm.ID, <-m.exited)
 	f.links.split(f.vms[:1], f.vms[1:], true)
 	f.start(m)
 	until := time.Now().Add(6 * time.Second)
