--- a/proof/cutter_test.go
+++ b/proof/cutter_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	names map[string]string
 	cut   map[[2]string]bool
 	conns []net.PacketConn
+	bytes atomic.Int64
 }
 
 func newCutter() *cutter {
@@ -93,6 +95,7 @@
 			c.mu.Unlock()
 			go c.answer(front, back, from, id, source)
 		}
+		c.bytes.Add(int64(n))
 		if !c.blocked(source, id) {
 			_, _ = back.Write(buffer[:n])
 		}
@@ -111,6 +114,7 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
+		c.bytes.Add(int64(n))
 		if !c.blocked(id, source) {
 			_, _ = front.WriteTo(buffer[:n], to)
 		}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -38,6 +39,8 @@
 var (
 	seed    = flag.Int64("seed", 1, "seed of the randomised runs")
 	seconds = flag.Int("seconds", 8, "length of a randomised run")
+	sizes   = flag.String("sizes", "3,6", "numbers of VMs whose control cost is measured, separated by commas")
+	plain   = flag.Bool("plain", false, "build the program without the race detector, for measuring")
 	program string
 )
 
@@ -54,7 +57,7 @@
 	}
 	defer os.RemoveAll(folder)
 	program = filepath.Join(folder, "fuchsiaspoke")
-	build := exec.Command("go", "build", "-race", "-o", program, "../cmd/fuchsiaspoke")
+	build := exec.Command("go", "build", "-race="+strconv.FormatBool(!*plain), "-o", program, "../cmd/fuchsiaspoke")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
 		return 1
