Never call a generation not run because its second try was not; use a permit for whoever is first

Cause: (1) a generation whose answer was lost is tried once more as a new one; where that second try was refused as not run, its caller was told not_run though the first had run. Change: the first try's word stands where the second did not run; a permit goes to the first in the replica's queue. Figures: TestLostTryIsNeverCalledNotRun fails before, passes after. Conclusion: both checks stand as they were.

--- a/upstream/dispatcher/loading.go
+++ b/upstream/dispatcher/loading.go
@@ -153,7 +153,8 @@
 		m.release(false)
 		return
 	}
-	n, ok := d.nextNeed(now, func(account string) bool { return account == m.account })
+	// The permit serves whoever is first in the queue now, not whoever it was asked for.
+	n, ok := d.nextNeed(now, func(string) bool { return true })
 	if !ok {
 		m.release(false)
 		return
--- a/vm/admitter/admitter.go
+++ b/vm/admitter/admitter.go
@@ -188,7 +188,12 @@
 		return err
 	}
 	g.RequestID += againSuffix
-	return a.deliver(ctx, g, follow)
+	again := a.deliver(ctx, g, follow)
+	if notRun(again) {
+		// The first try may have run, whatever became of the second.
+		return err
+	}
+	return again
 }
 
 // deliver passes the generation on until it ran or its patience is over; while tokens or leases are missing it waits here.
