--- /dev/null
+++ b/contract/minter/refusal.go
@@ -0,0 +1,36 @@
+package minter
+
+import (
+	"net/http"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/pkg/errors"
+)
+
+func (m *Minter) neverGranted(tokens int64) error {
+	refusal := &fuchsiaspoke.Refusal{
+		Code:    fuchsiaspoke.CodeTooLarge,
+		Message: "the request may take more than the burst of client account " + m.account.Name,
+		Run:     fuchsiaspoke.NotRun,
+		Status:  http.StatusRequestEntityTooLarge,
+	}
+	return errors.Wrapf(refusal, "reserve %d tokens", tokens)
+}
+
+func (m *Minter) rateExceeded() *fuchsiaspoke.Refusal {
+	return &fuchsiaspoke.Refusal{
+		Code:    fuchsiaspoke.CodeRateExceeded,
+		Message: "client account " + m.account.Name + " is at its rate",
+		Run:     fuchsiaspoke.NotRun,
+		Status:  http.StatusTooManyRequests,
+	}
+}
+
+func notOpen() *fuchsiaspoke.Refusal {
+	return &fuchsiaspoke.Refusal{
+		Code:    fuchsiaspoke.CodeLeaseLost,
+		Message: "this VM doesn't hold the client account's lease",
+		Run:     fuchsiaspoke.NotRun,
+		Status:  http.StatusServiceUnavailable,
+	}
+}
