--- a/vm/admitter/admitter.go
+++ b/vm/admitter/admitter.go
@@ -60,6 +60,8 @@
 	Budget budget
 	// Record puts an event on the time line.
 	Record func(fuchsiaspoke.Event)
+	// Replayed is told of each call that was answered from the record; nil drops it.
+	Replayed func(account string)
 	// Waited is told how long a generation waited for its first part; nil drops it.
 	Waited func(account string, wait time.Duration)
 
@@ -239,6 +241,9 @@
 	defer end()
 	a.Record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventAdmitted, RequestID: call.RequestID, Account: account, Tokens: call.CostTokens})
 	reply, err := a.Executor.Execute(ctx, *call)
+	if reply.Replayed && a.Replayed != nil {
+		a.Replayed(account)
+	}
 	return reply, cause(ctx, err)
 }
 
--- a/vm/runner/callers.go
+++ b/vm/runner/callers.go
@@ -24,7 +24,7 @@
 	}
 	n.admitter = &admitter.Admitter{
 		Catalog: n.relayer.Catalog, Spender: n.spender, Router: n.router, Executor: n.forwarder, Budget: &n.budget, Record: n.record,
-		Waited: n.meter.Wait,
+		Waited: n.meter.Wait, Replayed: n.meter.Duplicate,
 	}
 	n.listener = &listener.Listener{
 		Admitter: n.admitter,
--- a/vm/runner/lifecycle.go
+++ b/vm/runner/lifecycle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -47,6 +48,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		n.observePeers()
 		if !n.ready() || n.draining.Load() {
 			continue
 		}
@@ -70,6 +72,15 @@
 	n.holder.Release(ctx, resource)
 }
 
+// handOverAll hands leases over side by side, so that a long answer of one engine holds no other lease.
+func (n *node) handOverAll(ctx context.Context, resources []string) {
+	var wg sync.WaitGroup
+	for _, resource := range resources {
+		wg.Go(func() { n.handOver(ctx, resource) })
+	}
+	wg.Wait()
+}
+
 // drain is the graceful shutdown: callers stop coming, work ends, leases move, and only then the process may end.
 func (n *node) drain(ctx context.Context) {
 	klog.InfoS("Draining", "vm", n.settings.VM.ID)
@@ -77,18 +88,14 @@
 	n.record(fuchsiaspoke.Event{Kind: fuchsiaspoke.EventDraining})
 	n.gossiper.Wake()
 	kept := time.After(listener.KeepAnswer + drainMargin)
-	for _, resource := range n.surplus() {
-		n.handOver(ctx, resource)
-	}
+	n.handOverAll(ctx, n.surplus())
 	<-kept
 	n.endCallers()
 	if err := <-n.callersEnd; err != nil {
 		klog.ErrorS(err, "Callers were still served when the grace time ended", "vm", n.settings.VM.ID)
 	}
 	n.awaitQuiet()
-	for _, resource := range n.holder.Holds() {
-		n.handOver(ctx, resource)
-	}
+	n.handOverAll(ctx, n.holder.Holds())
 	n.dialer.Close()
 }
 
--- a/vm/runner/node.go
+++ b/vm/runner/node.go
@@ -77,8 +77,10 @@
 	listener  *listener.Listener
 	reporter  *reporter.Reporter
 
-	budget     budgeter.Budgeter
-	turn       atomic.Uint64
+	budget budgeter.Budgeter
+	turn   atomic.Uint64
+	// seen are the peers that were live at the last look; only the balance duty touches it.
+	seen       map[string]bool
 	callers    net.Listener
 	admin      net.Listener
 	links      *quic.Transport
