Serve what engines hold while no VM orders for them

Its log: the VM that was told to stop had taken both engines; for the first second the others still asked it for places ("no VM orders for the engine") and then refused, though the engines held the adapters. Only engines whose view had closed were used without a holder. Which VM takes the engines depends on the addresses, and these on the tests selected by -run, hence red with -run 'Served|Lost|Broken|OrdersKeep' and green alone. Ruled out: a fault of orders (no engine reported one), the race detector.

Change: an ask that no VM takes counts as an engine without a holder: what it holds, or was loading, is used at once. The keeper reads its own state under its lock; the order for a base model no longer returns a constant.

--- a/upstream/keeper/keeper.go
+++ b/upstream/keeper/keeper.go
@@ -198,10 +198,11 @@
 }
 
 func (k *Keeper) round(ctx context.Context) {
-	if !k.synced && !k.sync(ctx) {
+	if synced, _ := k.state(); !synced && !k.sync(ctx) {
 		return
 	}
-	if !k.modelReady && !k.loadModel(ctx) {
+	if _, ready := k.state(); !ready {
+		k.loadModel(ctx)
 		return
 	}
 	k.confirm(ctx)
@@ -214,6 +215,13 @@
 	}
 }
 
+// state reports whether the engine's places are known, and whether it holds the base model.
+func (k *Keeper) state() (synced, modelReady bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.synced, k.modelReady
+}
+
 func (k *Keeper) next() (scheduler.Change, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/upstream/keeper/sync.go
+++ b/upstream/keeper/sync.go
@@ -51,13 +51,13 @@
 	k.Log("engine state read", "engine", k.Replica.ID, "orders", k.count, "born", k.Replica.Born, "model_held", k.modelReady)
 }
 
-// loadModel brings the base model to an engine that started empty.
-func (k *Keeper) loadModel(ctx context.Context) bool {
+// loadModel orders the base model for an engine that started empty; the next report tells that it is held.
+func (k *Keeper) loadModel(ctx context.Context) {
 	k.mu.Lock()
 	early := k.Clock() < k.pauseUntil
 	k.mu.Unlock()
 	if early {
-		return false
+		return
 	}
 	result := k.order(ctx, fuchsiaspoke.EngineOrder{Load: true, Model: k.Model, Expected: -1})
 	k.mu.Lock()
@@ -67,5 +67,4 @@
 		k.pauseUntil = 0
 		k.synced = false
 	}
-	return false
 }
--- a/upstream/selector/selector.go
+++ b/upstream/selector/selector.go
@@ -54,6 +54,8 @@
 	Wait    time.Duration
 	// Resident says that the engine held the adapter when it was last told of.
 	Resident bool
+	// Coming says that the adapter was on its way then; it arrives also where nobody orders for the engine any more.
+	Coming bool
 	// Open says that a VM orders for the engine.
 	Open bool
 }
@@ -96,10 +98,9 @@
 	}
 	unread := d.PromptTokens
 	if d.Adapter != "" {
-		wait, held := s.fetch(d, c, rank)
-		choice.Wait += wait
-		choice.Resident = held
-		if held {
+		choice.Resident, choice.Coming = state(d, c)
+		choice.Wait += s.fetch(d, c, rank, choice)
+		if choice.Resident {
 			unread = unsharedTokens(d)
 		}
 	}
@@ -107,22 +108,29 @@
 	return choice
 }
 
-// fetch estimates the wait for the adapter.
-func (s Selector) fetch(d fuchsiaspoke.Demand, c Candidate, rank int) (time.Duration, bool) {
+// state reports whether the engine held the adapter, or was loading it, when it was last told of.
+func state(d fuchsiaspoke.Demand, c Candidate) (resident, coming bool) {
 	named := func(a fuchsiaspoke.Adapter) bool { return a.Name == d.Adapter }
-	if c.View == nil {
-		for _, m := range c.Replica.Held {
-			if m.Name == d.Model && slices.ContainsFunc(m.Adapters, named) {
-				return 0, true
-			}
-		}
-		return coldFetch + time.Duration(rank)*spread, false
+	if c.View != nil {
+		return slices.ContainsFunc(c.View.Resident, named), slices.ContainsFunc(c.View.Coming, named)
 	}
-	if slices.ContainsFunc(c.View.Resident, named) {
-		return 0, true
+	for _, m := range c.Replica.Held {
+		if m.Name == d.Model && slices.ContainsFunc(m.Adapters, named) {
+			return true, false
+		}
 	}
-	if slices.ContainsFunc(c.View.Coming, named) {
-		return comingFetch, false
+	return false, false
+}
+
+// fetch estimates the wait for the adapter.
+func (s Selector) fetch(d fuchsiaspoke.Demand, c Candidate, rank int, choice Choice) time.Duration {
+	switch {
+	case choice.Resident:
+		return 0
+	case choice.Coming:
+		return comingFetch
+	case c.View == nil:
+		return coldFetch + time.Duration(rank)*spread
 	}
 	wait := warmFetch
 	if rank > 0 {
@@ -131,7 +139,7 @@
 	if over := c.View.BusyPlaces - s.Slots; over >= 0 && s.Slots > 0 {
 		wait += placeTurn * time.Duration(over+2) / time.Duration(s.Slots)
 	}
-	return wait, false
+	return wait
 }
 
 // unsharedTokens is the last part of a prompt, which no other request has read yet.
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -76,24 +76,15 @@
 		if asked >= maxAsks || ctx.Err() != nil {
 			break
 		}
-		if !choice.Open {
-			if choice.Resident || t.work.Demand.Adapter == "" {
-				t.Log("place without a holder", "request", t.work.ID, "engine", choice.Replica.ID, "adapter", t.work.Demand.Adapter)
-				return unheld(choice), choice.Replica, nil
-			}
+		if !choice.Open && !t.keeps(choice) {
 			continue
 		}
 		asked++
-		place, err := t.Broker.Ask(ctx, t.ask(choice))
-		if err == nil {
-			t.Log("place granted", "request", t.work.ID, "engine", choice.Replica.ID, "adapter", t.work.Demand.Adapter,
-				"predicted_ms", choice.Wait.Milliseconds(), "resident", choice.Resident)
+		place, r := t.placeAt(ctx, choice)
+		if place != nil {
 			return place, choice.Replica, nil
 		}
-		t.Log("place refused", "request", t.work.ID, "engine", choice.Replica.ID, "adapter", t.work.Demand.Adapter,
-			"predicted_ms", choice.Wait.Milliseconds(), "error", err.Error())
-		var r *fuchsiaspoke.Refusal
-		if errors.As(err, &r) {
+		if r != nil {
 			refused = sooner(refused, r)
 		}
 	}
@@ -103,6 +94,33 @@
 	return nil, fuchsiaspoke.Replica{}, t.refuse(http.StatusServiceUnavailable, "no engine has a place in time")
 }
 
+// placeAt asks the VM that orders for one engine; where there is none, the request may go to what the engine holds.
+func (t *try) placeAt(ctx context.Context, choice selector.Choice) (*broker.Place, *fuchsiaspoke.Refusal) {
+	err := broker.ErrNoHolder
+	if choice.Open {
+		var place *broker.Place
+		if place, err = t.Broker.Ask(ctx, t.ask(choice)); err == nil {
+			t.Log("place granted", "request", t.work.ID, "engine", choice.Replica.ID, "adapter", t.work.Demand.Adapter,
+				"predicted_ms", choice.Wait.Milliseconds(), "resident", choice.Resident)
+			return place, nil
+		}
+		t.Log("place refused", "request", t.work.ID, "engine", choice.Replica.ID, "adapter", t.work.Demand.Adapter,
+			"predicted_ms", choice.Wait.Milliseconds(), "error", err.Error())
+	}
+	if errors.Is(err, broker.ErrNoHolder) && t.keeps(choice) && ctx.Err() == nil {
+		t.Log("place without a holder", "request", t.work.ID, "engine", choice.Replica.ID, "adapter", t.work.Demand.Adapter)
+		return unheld(choice), nil
+	}
+	var r *fuchsiaspoke.Refusal
+	errors.As(err, &r)
+	return nil, r
+}
+
+// keeps reports whether the engine can serve the request though nobody orders for it: what it holds or loads doesn't change.
+func (t *try) keeps(c selector.Choice) bool {
+	return t.work.Demand.Adapter == "" || c.Resident || c.Coming
+}
+
 func sooner(a, b *fuchsiaspoke.Refusal) *fuchsiaspoke.Refusal {
 	if a == nil || b.RetryAfter < a.RetryAfter {
 		return b
