Let large fleets hold their engines: short heartbeats, turns by rank

(2) With any VM silent an engine is only taken in the VM's own turn; one cycle of 80 turns takes 120 s. (3) A claim of a VM that was killed and came back stayed in force for the 8 s of silence, and a fresh VM listened for 9.6 s. Ruled out: processor time (138 s over 80 VMs and a minute), engines that refuse orders (25 of 4,485).

Change: a heartbeat names at most twelve VMs, others in the next ones, and intervals differ by a fifth; the turn goes by the VM's rank for the engine, six turns a cycle; a claim ends with a new start of its VM, or after two heartbeats without it; a fresh VM listens for four heartbeats, at least 1.2 s.

--- a/upstream/broker/broker.go
+++ b/upstream/broker/broker.go
@@ -94,7 +94,7 @@
 		return k.View(), b.Clock(), true
 	}
 	view, claim, known := b.Peers.View(engine)
-	view.Open = view.Open && b.Clock()-claim.Heard <= b.Peers.Silence()
+	view.Open = view.Open && !claim.Over && b.Clock()-claim.Heard <= b.Peers.Silence()
 	return view, claim.Heard, known
 }
 
--- a/vm/entry/engines.go
+++ b/vm/entry/engines.go
@@ -69,7 +69,7 @@
 }
 
 func (e *Entry) world(now time.Duration, engines map[string]fuchsiaspoke.Replica) steward.World {
-	settled := e.settleTime()
+	settled := e.roster.SettleTime()
 	w := steward.World{
 		Self: e.VM.ID, Settled: now >= settled && e.Ready(), SettlesIn: max(settled-now, 0), Leaving: e.Leaving(), Claims: e.roster.Claims(),
 		Revision: e.follower.Published().Revision, Others: e.expectsOthers(),
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -34,8 +34,6 @@
 )
 
 const (
-	// settleBeats is how many heartbeats' time a fresh process listens before it takes engines.
-	settleBeats = 8
 	// stopSlack is how much longer a leaving VM serves than callers keep answers.
 	stopSlack = 300 * time.Millisecond
 	// answerKept is how long callers may keep an answer about addresses; some keep it three times as long.
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -21,8 +21,6 @@
 	pullTimeout = 800 * time.Millisecond
 	// staleRead is how old what is published may be before a VM asks its peers.
 	staleRead = 3500 * time.Millisecond
-	// formTime is how long after a VM joined all VMs are named in heartbeats.
-	formTime = 5 * time.Second
 	// budgetShare is the part of the retry slack of all VMs that they give out among themselves.
 	budgetShare = 0.7
 	// unknownFleet is how many VMs there are taken to be while none is known.
@@ -41,27 +39,21 @@
 	if p.Contract != nil {
 		s.ContractVersion = p.Contract.Version
 	}
-	s.Peers = e.tell(now)
+	s.Peers = e.tell(now, s.Beat)
 	return s
 }
 
-// tell names the VMs that others may not know of: all while the fleet forms, then those that are silent.
-func (e *Entry) tell(now time.Duration) []fuchsiaspoke.HeardVM {
-	quiet, forming := e.roster.Silence(), now-e.roster.Joined() < formTime
+// tell names VMs that others may not know of.
+func (e *Entry) tell(now time.Duration, beat uint64) []fuchsiaspoke.HeardVM {
 	var out []fuchsiaspoke.HeardVM
-	for _, peer := range e.roster.Peers(now) {
-		if forming || now-peer.Heard > quiet/2 {
-			out = append(out, fuchsiaspoke.HeardVM{
-				ID: peer.State.VM.ID, BeatAddress: e.beatOf(peer.State.VM), Age: now - peer.Heard,
-			})
-		}
+	for _, peer := range e.roster.Mentions(now, beat) {
+		out = append(out, fuchsiaspoke.HeardVM{
+			ID: peer.State.VM.ID, BeatAddress: e.beatOf(peer.State.VM), Age: now - peer.Heard,
+		})
 	}
 	return out
 }
 
-// settleTime is how long a fresh process listens before it takes engines.
-func (e *Entry) settleTime() time.Duration { return settleBeats * e.roster.Interval() }
-
 // beatOf returns where a VM takes heartbeats: all VMs use the same ports.
 func (e *Entry) beatOf(vm fuchsiaspoke.VM) string {
 	host, _, err := net.SplitHostPort(vm.LinkAddress)
--- a/vm_state.go
+++ b/vm_state.go
@@ -31,6 +31,8 @@
 	VM     string
 	Fence  int64
 	Heard  time.Duration
+	// Over says that the VM started anew or stopped to tell of the engine.
+	Over bool
 }
 
 // HeardVM is a VM that another one told of.
--- a/zone/beater/beater.go
+++ b/zone/beater/beater.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -15,6 +16,8 @@
 const (
 	// enginesPerBeat bounds the engines in one datagram, so that it fits a packet.
 	enginesPerBeat = 4
+	// jitter is the part of the interval by which heartbeats differ, so that those of a fleet don't come at once.
+	jitter = 0.2
 	// maxDatagram bounds a heartbeat, in bytes.
 	maxDatagram = 16 << 10
 )
@@ -62,7 +65,7 @@
 func (b *Beater) send(ctx context.Context, conn *net.UDPConn) {
 	for {
 		b.beat(conn)
-		t := time.NewTimer(b.Interval())
+		t := time.NewTimer(spread(b.Interval()))
 		select {
 		case <-ctx.Done():
 			t.Stop()
@@ -73,6 +76,11 @@
 	}
 }
 
+// spread draws a time around the interval.
+func spread(interval time.Duration) time.Duration {
+	return time.Duration(float64(interval) * (1 - jitter/2 + jitter*rand.Float64()))
+}
+
 func (b *Beater) beat(conn *net.UDPConn) {
 	state := b.State()
 	targets := b.Targets()
--- a/zone/roster/roster.go
+++ b/zone/roster/roster.go
@@ -17,6 +17,16 @@
 	silence = 1000 * time.Millisecond
 	// smallFleet is the number of VMs up to which heartbeats keep that pace; beyond, what a VM sends and hears stays the same.
 	smallFleet = 10
+	// settleBeats is how many heartbeats of each VM a fresh one listens for: three in ten may be lost.
+	settleBeats = 4
+	// leastSettle is the least time that a fresh VM listens; eight heartbeats of a small fleet.
+	leastSettle = 1200 * time.Millisecond
+	// maxMentions bounds the VMs that one heartbeat names, so that it fits a packet; others are named in the next ones.
+	maxMentions = 12
+	// formTime is how long after a VM joined all VMs are named in heartbeats.
+	formTime = 5 * time.Second
+	// missedBeats is how many heartbeats that no longer name an engine say that its VM gave it up; one may be lost in part.
+	missedBeats = 2
 	// forgetAfter is how long a silent VM is remembered, as it may be alive behind a cut.
 	forgetAfter = 2 * time.Minute
 )
@@ -45,6 +55,8 @@
 type claim struct {
 	fuchsiaspoke.EngineClaim
 	view fuchsiaspoke.EngineView
+	// beat is the heartbeat that told of the claim last.
+	beat uint64
 }
 
 // Observe takes a heartbeat in; it reports whether the VM, or this start of it, was not known.
@@ -66,8 +78,10 @@
 		r.engines[view.Engine.ID] = claim{
 			EngineClaim: fuchsiaspoke.EngineClaim{Engine: view.Engine.ID, VM: s.VM.ID, Fence: view.Fence, Heard: now},
 			view:        view,
+			beat:        s.Beat,
 		}
 	}
+	r.end(s, same)
 	r.peers[s.VM.ID] = &peer{state: s, heard: now}
 	if !same {
 		r.joined = now
@@ -75,6 +89,16 @@
 	return !same
 }
 
+// end marks the claims that the VM gave up, or that an earlier start of it made.
+func (r *Roster) end(s fuchsiaspoke.VMState, same bool) {
+	for id, c := range r.engines {
+		if c.VM == s.VM.ID && (!same && c.beat != s.Beat || s.Beat >= c.beat+missedBeats) {
+			c.Over = true
+			r.engines[id] = c
+		}
+	}
+}
+
 func (r *Roster) hear(now time.Duration, peers []fuchsiaspoke.HeardVM) {
 	for _, p := range peers {
 		heard := now - p.Age
@@ -122,6 +146,9 @@
 // Silence is how long a VM may be silent before it is taken to be gone or cut off.
 func (r *Roster) Silence() time.Duration { return time.Duration(float64(silence) * r.scale()) }
 
+// SettleTime is how long a fresh VM listens for claims before it takes engines.
+func (r *Roster) SettleTime() time.Duration { return max(leastSettle, settleBeats*r.Interval()) }
+
 func (r *Roster) scale() float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -144,6 +171,18 @@
 	return out
 }
 
+// Mentions returns the VMs that a heartbeat should name: all while the fleet forms, then those that may be silent.
+func (r *Roster) Mentions(now time.Duration, beat uint64) []Peer {
+	quiet, forming := r.Silence(), now-r.Joined() < formTime
+	named := slices.DeleteFunc(r.Peers(now), func(p Peer) bool { return !forming && now-p.Heard <= quiet/2 })
+	if len(named) <= maxMentions {
+		return named
+	}
+	parts := uint64(len(named)+maxMentions-1) / maxMentions
+	from := int(beat%parts) * maxMentions
+	return named[from:min(from+maxMentions, len(named))]
+}
+
 // Live returns the VMs that are not silent.
 func (r *Roster) Live(now time.Duration) []Peer {
 	quiet := r.Silence()
--- a/zone/steward/steward.go
+++ b/zone/steward/steward.go
@@ -26,8 +26,11 @@
 	lapse = 2 * time.Second
 	// probation is how long the hold of an engine lasts that was taken while a peer may be cut off, until its first order.
 	probation = 900 * time.Millisecond
-	// slotTime is each VM's turn to take engines while a peer may be cut off: an unused hold ends, or its order is seen.
+	// slotTime is a VM's turn to take an engine while a peer may be cut off: an unused hold ends, or its order is seen.
 	slotTime = probation + reportLag
+	// maxSlots is the number of turns in a cycle: the VMs that should order for an engine first have one each, all others the
+	// last one. Two sides of a cut share a turn only where that many of the first ones are gone.
+	maxSlots = 6
 	// slotWindow is the part of its turn within which a VM begins to take an engine.
 	slotWindow = 400 * time.Millisecond
 	// aloneTime is how long a VM that lost all its peers gives no orders; longer than the restart of a process.
@@ -193,7 +196,7 @@
 
 func (s *Steward) judge(now time.Duration, w World, engine string, contested bool, v *Verdict) {
 	claim, claimed := w.Claims[engine]
-	live := claimed && now-claim.Heard <= w.silence() && !leaves(w, claim.VM)
+	live := claimed && !claim.Over && now-claim.Heard <= w.silence() && !leaves(w, claim.VM)
 	h := s.holds[engine]
 	switch {
 	case h != nil && live:
@@ -221,21 +224,21 @@
 		o = &watch{looked: -lookEvery}
 		s.watches[engine] = o
 	}
-	if w.Settled && s.still(o, claimed, contested) && now-o.seen <= lookAge && (!contested || o.seen >= s.turn(now, w)) {
+	if w.Settled && s.still(o, claimed, contested) && now-o.seen <= lookAge && (!contested || o.seen >= s.turn(now, w, engine)) {
 		fence := max(w.Revision<<fenceShift|int64(mark(w.Self)), claim.Fence+1)
 		s.holds[engine] = &hold{fence: fence, ordered: now, proven: !contested}
 		delete(s.watches, engine)
 		v.Take = append(v.Take, engine)
 		return
 	}
-	if s.due(now, w, o, claimed, contested) {
+	if s.due(now, w, engine, o, claimed, contested) {
 		o.looked = now
 		v.Look = append(v.Look, engine)
 	}
 }
 
 // due reports whether the engine is to be looked at: now and then, when a watch is over, and inside this VM's turn.
-func (s *Steward) due(now time.Duration, w World, o *watch, claimed, contested bool) bool {
+func (s *Steward) due(now time.Duration, w World, engine string, o *watch, claimed, contested bool) bool {
 	if w.SettlesIn > s.Lease+reportLag {
 		return false
 	}
@@ -255,7 +258,7 @@
 	if !contested {
 		return w.Settled && now-o.looked > lookAge
 	}
-	turn := s.turn(now, w)
+	turn := s.turn(now, w, engine)
 	return turn <= now && o.looked < turn
 }
 
@@ -283,20 +286,22 @@
 	return s.Lease + reportLag
 }
 
-// turn returns when this VM's turn began, or a time to come where it isn't its turn.
-func (s *Steward) turn(now time.Duration, w World) time.Duration {
+// turn returns when this VM's turn to take the engine began, or a time to come where it isn't its turn.
+func (s *Steward) turn(now time.Duration, w World, engine string) time.Duration {
+	mine := ranker.Weight(engine, w.Self)
 	place, all := 0, 1
 	for _, p := range w.Peers {
 		if now-p.Heard > suspicion {
 			continue
 		}
 		all++
-		if p.ID < w.Self {
+		if ranker.Weight(engine, p.ID) > mine {
 			place++
 		}
 	}
-	cycle := slotTime * time.Duration(all)
-	into := w.Wall%cycle - slotTime*time.Duration(place)
+	slots := min(all, maxSlots)
+	cycle := slotTime * time.Duration(slots)
+	into := w.Wall%cycle - slotTime*time.Duration(min(place, slots-1))
 	if into < 0 || into > slotWindow {
 		return now + slotTime
 	}
