Refuse what waits at an engine in vain, and leave silent engines

Ruled out: give-ups of impatient clients, which take 10 to 800 ms.

Change: an ask that can't be served before its caller leaves is refused; an engine that doesn't answer the question for its state refuses all that waits, and is told of as closed until it answers.

--- a/upstream/keeper/keeper.go
+++ b/upstream/keeper/keeper.go
@@ -57,7 +57,7 @@
 
 	mu      sync.Mutex
 	plan    scheduler.Scheduler
-	grants  map[string]chan scheduler.Granted
+	grants  map[string]chan verdict
 	kick    chan struct{}
 	ended   chan struct{}
 	started bool
@@ -67,13 +67,21 @@
 	uncertain  int64
 	lastOrder  time.Duration
 	modelReady bool
+	// silent says that the engine did not answer when it was last asked for its state.
+	silent     bool
 	pauseUntil time.Duration
 }
 
+// verdict ends the wait of an ask: with a place, or with a refusal.
+type verdict struct {
+	grant   scheduler.Granted
+	refusal *fuchsiaspoke.Refusal
+}
+
 // Ask waits for a place: send is told that the ask waits, then that it is granted; the place is kept until ctx ends.
 func (k *Keeper) Ask(ctx context.Context, ask fuchsiaspoke.EngineAsk, send func(fuchsiaspoke.EngineGrant) error) error {
-	granted := make(chan scheduler.Granted, 1)
-	wait, refusal := k.offer(ask, granted)
+	decided := make(chan verdict, 1)
+	wait, refusal := k.offer(ask, decided)
 	if refusal != nil {
 		return refusal
 	}
@@ -86,9 +94,12 @@
 		return ctx.Err()
 	case <-k.ended:
 		return ErrEnded
-	case g := <-granted:
+	case v := <-decided:
+		if v.refusal != nil {
+			return v.refusal
+		}
 		err := send(fuchsiaspoke.EngineGrant{
-			Granted: true, Wait: g.Wait, Incarnation: k.Replica.Incarnation(), Version: g.Version,
+			Granted: true, Wait: v.grant.Wait, Incarnation: k.Replica.Incarnation(), Version: v.grant.Version,
 		})
 		if err != nil {
 			return err
@@ -98,13 +109,16 @@
 	return ctx.Err()
 }
 
-func (k *Keeper) offer(ask fuchsiaspoke.EngineAsk, granted chan scheduler.Granted) (time.Duration, *fuchsiaspoke.Refusal) {
+func (k *Keeper) offer(ask fuchsiaspoke.EngineAsk, decided chan verdict) (time.Duration, *fuchsiaspoke.Refusal) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.init()
+	if k.silent {
+		return 0, silentEngine()
+	}
 	wait, refusal := k.plan.Offer(k.Clock(), ask)
 	if refusal == nil {
-		k.grants[ask.ID] = granted
+		k.grants[ask.ID] = decided
 		k.wake()
 	}
 	return wait, refusal
@@ -138,7 +152,7 @@
 	defer k.mu.Unlock()
 	v := k.plan.View()
 	v.Engine, v.Fence = k.Replica.Incarnation(), k.Fence
-	v.Open = k.modelReady
+	v.Open = k.modelReady && !k.silent
 	return v
 }
 
@@ -174,7 +188,7 @@
 	k.started = true
 	k.kick = make(chan struct{}, 1)
 	k.ended = make(chan struct{})
-	k.grants = make(map[string]chan scheduler.Granted)
+	k.grants = make(map[string]chan verdict)
 	k.plan.Limits = k.Limits
 	k.plan.Limits.AdapterSlots = k.Limits.AdapterPlaces(k.Model)
 }
@@ -198,6 +212,7 @@
 }
 
 func (k *Keeper) round(ctx context.Context) {
+	k.expire()
 	if synced, _ := k.state(); !synced && !k.sync(ctx) {
 		return
 	}
@@ -240,10 +255,37 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, g := range k.plan.Start(k.Clock()) {
-		if granted := k.grants[g.ID]; granted != nil {
-			granted <- g
-			delete(k.grants, g.ID)
-		}
+		k.decide(g.ID, verdict{grant: g})
+	}
+}
+
+// expire refuses the asks that waited until they can't be served any more.
+func (k *Keeper) expire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, x := range k.plan.Expire(k.Clock()) {
+		k.Log("place not granted in time", "request", x.ID, "engine", k.Replica.ID, "synced", k.synced, "model_held", k.modelReady)
+		k.decide(x.ID, verdict{refusal: x.Refusal})
+	}
+}
+
+// giveUp refuses all that waits, so that it goes on to engines that answer.
+func (k *Keeper) giveUp() {
+	for id := range k.grants {
+		k.decide(id, verdict{refusal: silentEngine()})
+	}
+}
+
+func silentEngine() *fuchsiaspoke.Refusal {
+	return fuchsiaspoke.Refusal{
+		Code: fuchsiaspoke.CodeNoUpstream, Run: fuchsiaspoke.NotRun, Status: 503, Message: "the engine does not answer",
+	}.WithRetryAfter(failurePause)
+}
+
+func (k *Keeper) decide(id string, v verdict) {
+	if decided := k.grants[id]; decided != nil {
+		decided <- v
+		delete(k.grants, id)
 	}
 }
 
--- /dev/null
+++ b/upstream/keeper/keeper_test.go
@@ -0,0 +1,140 @@
+package keeper_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/keeper"
+)
+
+// engine is one that loads at once, and that may stop to answer.
+type engine struct {
+	mu     sync.Mutex
+	held   map[string]int64
+	orders int64
+	silent bool
+}
+
+func (e *engine) Report(ctx context.Context, _ fuchsiaspoke.Replica) (fuchsiaspoke.ReplicaReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.silent {
+		return fuchsiaspoke.ReplicaReport{}, errors.New("no answer")
+	}
+	model := fuchsiaspoke.HeldModel{Name: "m", Version: 1}
+	for name, version := range e.held {
+		model.Adapters = append(model.Adapters, fuchsiaspoke.Adapter{Name: name, Version: version})
+	}
+	return fuchsiaspoke.ReplicaReport{Replica: fuchsiaspoke.Replica{Born: 1, Orders: e.orders, Held: []fuchsiaspoke.HeldModel{model}}}, nil
+}
+
+func (e *engine) Order(_ context.Context, _ fuchsiaspoke.Replica, o fuchsiaspoke.EngineOrder) (fuchsiaspoke.OrderResult, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.silent {
+		return fuchsiaspoke.OrderUnknown, errors.New("no answer")
+	}
+	if _, held := e.held[o.Adapter]; held && o.Load {
+		return fuchsiaspoke.OrderDone, nil
+	}
+	e.orders++
+	if o.Load {
+		e.held[o.Adapter] = max(o.Version, 1)
+		return fuchsiaspoke.OrderAccepted, nil
+	}
+	delete(e.held, o.Adapter)
+	return fuchsiaspoke.OrderDone, nil
+}
+
+func (e *engine) set(silent bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silent = silent
+}
+
+func keep(t *testing.T, e *engine) *keeper.Keeper {
+	t.Helper()
+	began := time.Now()
+	k := &keeper.Keeper{
+		Replica: fuchsiaspoke.Replica{ID: "engine_1", Born: 1}, Model: "m", Control: e, Holder: "vm_1", Fence: 7,
+		Limits: fuchsiaspoke.EngineLimits{
+			Batch: 96, CacheTokens: 180_000, AdapterSlots: 2, WeightsMB: 16_500,
+			Models: map[string]fuchsiaspoke.Model{"m": {WeightsMB: 16_000, AdapterMB: 14}},
+		},
+		Clock: func() time.Duration { return time.Since(began) },
+		Holds: func() bool { return true }, Ordered: func() {}, Foreign: func() {},
+		Log: func(string, ...any) {}, Versions: func(string) int64 { return 1 },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := k.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return k
+}
+
+func ask(id, adapter string) fuchsiaspoke.EngineAsk {
+	return fuchsiaspoke.EngineAsk{
+		ID: id, Engine: "engine_1", DueIn: 2 * time.Second, LeftIn: 8 * time.Second,
+		Demand: fuchsiaspoke.Demand{Model: "m", Adapter: adapter, PromptTokens: 900, OutputTokens: 50},
+	}
+}
+
+func TestAPlaceIsGrantedOnceTheAdapterIsHeld(t *testing.T) {
+	e := &engine{held: map[string]int64{}}
+	k := keep(t, e)
+	ctx, end := context.WithTimeout(context.Background(), 5*time.Second)
+	defer end()
+	var got fuchsiaspoke.EngineGrant
+	err := k.Ask(ctx, ask("r1", "a1"), func(g fuchsiaspoke.EngineGrant) error {
+		if got = g; g.Granted {
+			end()
+		}
+		return nil
+	})
+	if !errors.Is(err, context.Canceled) || !got.Granted || got.Version != 1 {
+		t.Fatalf("grant %+v, end %v", got, err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held["a1"] != 1 {
+		t.Errorf("the engine holds %v", e.held)
+	}
+}
+
+// The pattern: an engine falls silent under requests that wait for an adapter; other engines could still serve them.
+func TestASilentEngineLetsGoOfWhatWaits(t *testing.T) {
+	const bound = 2 * time.Second
+	e := &engine{held: map[string]int64{}}
+	k := keep(t, e)
+	for !k.View().Open {
+		time.Sleep(time.Millisecond)
+	}
+	e.set(true)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*bound)
+	defer cancel()
+	err := k.Ask(ctx, ask("r1", "a1"), func(fuchsiaspoke.EngineGrant) error { return nil })
+	var refusal *fuchsiaspoke.Refusal
+	if !errors.As(err, &refusal) || refusal.Run != fuchsiaspoke.NotRun {
+		t.Fatalf("%v, want a refusal that says not run", err)
+	}
+	if took := time.Since(began); took > bound {
+		t.Errorf("refused after %v", took)
+	}
+	if k.View().Open {
+		t.Error("the engine is told of as open")
+	}
+	e.set(false)
+	for n := 0; !k.View().Open; n++ {
+		if n > 300 {
+			t.Fatal("still closed 3 s after the engine answers again")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/upstream/keeper/sync.go
+++ b/upstream/keeper/sync.go
@@ -20,7 +20,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err != nil {
-		k.Log("engine report failed", "engine", k.Replica.ID, "error", err.Error())
+		k.Log("engine report failed", "engine", k.Replica.ID, "waiting", len(k.grants), "error", err.Error())
+		k.silent = true
+		k.giveUp()
 		k.pauseUntil = k.Clock() + failurePause
 		return false
 	}
@@ -34,7 +36,7 @@
 }
 
 func (k *Keeper) adopt(report fuchsiaspoke.ReplicaReport) {
-	k.count, k.uncertain, k.synced = report.Replica.Orders, 0, true
+	k.count, k.uncertain, k.synced, k.silent = report.Replica.Orders, 0, true, false
 	if report.Replica.Born != 0 {
 		k.Replica.Born = report.Replica.Born
 	}
--- a/upstream/scheduler/scheduler.go
+++ b/upstream/scheduler/scheduler.go
@@ -185,6 +185,29 @@
 	return out
 }
 
+// Expired is an ask that waited until it can no longer be served.
+type Expired struct {
+	ID      string
+	Refusal *fuchsiaspoke.Refusal
+}
+
+// Expire takes back the asks that can't be served before their callers leave, even if they were next.
+func (s *Scheduler) Expire(now time.Duration) []Expired {
+	var out []Expired
+	s.waiting = slices.DeleteFunc(s.waiting, func(a *ask) bool {
+		least := s.readTime(a.unread) + firstEvent
+		if _, ready := s.readyPlace(a.Demand.Adapter); !ready {
+			least += s.warmTime
+		}
+		if now+least <= a.deadline {
+			return false
+		}
+		out = append(out, Expired{ID: a.ID, Refusal: overloaded(least)})
+		return true
+	})
+	return out
+}
+
 func (s *Scheduler) grant(now time.Duration, a *ask, p *place) Granted {
 	a.unread = s.prompts.unread(a.Demand)
 	g := Granted{ID: a.ID, Wait: s.readTime(s.starting+a.unread) + firstEvent}
--- a/upstream/scheduler/scheduler_test.go
+++ b/upstream/scheduler/scheduler_test.go
@@ -236,3 +236,23 @@
 		t.Fatalf("next order %+v %v, want another adapter than a1 unloaded", c, due)
 	}
 }
+
+// The pattern: an engine stops reading while prompts wait for it; their callers must learn of it before they give up.
+func TestWhatCanNoLongerBeServedIsRefused(t *testing.T) {
+	s := scheduler.Scheduler{Limits: limits()}
+	take(t, &s, 0, ask("first", "a1", 9000, 1, time.Second, 4*time.Second))
+	take(t, &s, 0, ask("soon", "a1", 9000, 1, time.Second, 2*time.Second))
+	take(t, &s, 0, ask("later", "a1", 9000, 1, time.Second, 15*time.Second))
+	serve(&s, 0)
+	s.Start(0)
+	if expired := s.Expire(time.Second); len(expired) != 0 {
+		t.Fatalf("expired with a second left: %v", expired)
+	}
+	expired := s.Expire(1900 * time.Millisecond)
+	if len(expired) != 1 || expired[0].ID != "soon" || expired[0].Refusal.Run != fuchsiaspoke.NotRun || expired[0].Refusal.RetryAfter <= 0 {
+		t.Fatalf("expired %+v, want the one whose caller leaves at 2 s", expired)
+	}
+	if s.Cancel(2*time.Second, "soon") {
+		t.Error("still known")
+	}
+}
