Let a few VMs read the platform for all; tell callers when to return

Change: two VMs, and one more for each twenty, read it; heartbeats tell the revision and how long ago it was known to be the newest; a VM that hears of a newer one gets the changes since its own from that peer; one whose knowledge is older than half of the limit reads for itself, as one that is cut off from its peers does. Cause 2: after all VMs were killed, 580 requests were refused with "come back in 500 ms" while engines were taken seconds later; their one retry was refused too. Change: where no VM orders for any engine, Retry-After is the time until this VM may, spread by half of it.

Tried first, and changed: contracts came from peers too. Contracts are large and rare: each VM reads them for itself, from a peer only while the platform fails.

The bytes of heartbeats and pulls are next.

--- a/contract/follower/follower.go
+++ b/contract/follower/follower.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +26,11 @@
 	slowEvery = 4
 	// retryPause is the wait after a failed call.
 	retryPause = 250 * time.Millisecond
+	// staleShare is how old what is known may be, as a part of Limit, before a VM that doesn't read for others asks itself: a
+	// call that is lost and one more fit in the limit.
+	staleShare = 0.5
+	// idleTime is the pause between two looks at whether this VM should read.
+	idleTime = 100 * time.Millisecond
 	// returnTime is how long after an outage of the platform a missing replica may still come back.
 	returnTime = 2500 * time.Millisecond
 )
@@ -43,11 +47,17 @@
 	Clock func() time.Duration
 	// Limit is the time within which a change must be in force.
 	Limit time.Duration
+	// Reads reports whether this VM reads the platform for others; one that doesn't asks the platform only where its peers
+	// leave it without news. Nil is true.
+	Reads func() bool
 	// Log tells what changed, with keys and values.
 	Log func(event string, keysAndValues ...any)
 
-	state atomic.Pointer[fuchsiaspoke.Published]
-	mu    sync.Mutex
+	state   atomic.Pointer[fuchsiaspoke.Published]
+	mu      sync.Mutex
+	changes changes
+	// wanted is the newest contract version that a peer has.
+	wanted atomic.Int64
 	// missing is since when a replica is missing after an outage.
 	missing map[string]time.Duration
 	failing bool
@@ -70,17 +80,20 @@
 }
 
 func (f *Follower) follow(ctx context.Context) error {
-	revision := int64(0)
-	failures := 0
+	failures, relist := 0, false
 	for ctx.Err() == nil {
+		if f.idle() {
+			sleep(ctx, idleTime)
+			continue
+		}
 		began := f.Clock()
-		next, err := f.step(ctx, revision, failures)
+		err := f.step(ctx, relist, failures)
 		if ctx.Err() != nil {
 			break
 		}
 		f.note(err)
 		if errors.Is(err, fuchsiaspoke.ErrHistoryGone) {
-			revision = 0
+			relist = true
 			continue
 		}
 		wait := f.pace() - (f.Clock() - began)
@@ -88,19 +101,49 @@
 			wait = retryPause
 			failures++
 		} else {
-			revision, failures = next, 0
+			failures, relist = 0, false
 		}
 		sleep(ctx, wait)
 	}
 	return ctx.Err()
 }
 
+// idle reports whether other VMs read the platform for this one.
+func (f *Follower) idle() bool {
+	return f.Reads != nil && !f.Reads() && !f.Stale() && !f.behind()
+}
+
+func (f *Follower) behind() bool {
+	c := f.Published().Contract
+	return c == nil || c.Version < f.wanted.Load()
+}
+
+// Want tells that a peer has a contract of a version; contracts are large, so they are read from the platform if it answers.
+func (f *Follower) Want(version int64) {
+	if version > f.wanted.Load() {
+		f.wanted.Store(version)
+	}
+}
+
+// Failing reports whether the last call to the platform failed.
+func (f *Follower) Failing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing
+}
+
+// Stale reports whether what is known may be too old to wait for the peers' news.
+func (f *Follower) Stale() bool {
+	p := f.Published()
+	return p.Contract == nil || f.Clock()-p.ReadAt > time.Duration(staleShare*float64(f.Limit))
+}
+
 func (f *Follower) pace() time.Duration {
 	return max(time.Duration(paceShare*float64(f.Limit)), leastPace)
 }
 
 // step makes one call; after a failure it asks for what there is, so that a call lost in an outage doesn't outlast it.
-func (f *Follower) step(ctx context.Context, revision int64, failures int) (int64, error) {
+func (f *Follower) step(ctx context.Context, relist bool, failures int) error {
 	wait, patience := watchTime, answerTime
 	if failures > 0 {
 		wait = 0
@@ -110,18 +153,19 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+patience)
 	defer cancel()
-	if revision == 0 {
+	revision := f.Published().Revision
+	if revision == 0 || relist {
 		list, err := f.Platform.List(ctx)
 		if err == nil {
 			f.replace(list)
 		}
-		return list.Revision, err
+		return err
 	}
 	list, err := f.Platform.Watch(ctx, revision, wait)
 	if err == nil {
 		f.apply(list)
 	}
-	return list.Revision, err
+	return err
 }
 
 func (f *Follower) note(err error) {
@@ -142,146 +186,6 @@
 	}
 }
 
-// Relay takes what a peer knows; what is older than that in force is ignored.
-func (f *Follower) Relay(c *fuchsiaspoke.Contract, r fuchsiaspoke.PublishedRelay, from string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	next := *f.Published()
-	if c != nil && f.take(&next, c, r.ContractRaw) {
-		f.Log("contract in force", "version", c.Version, "from", from)
-	}
-	if r.Revision > next.Revision {
-		next.Replicas, next.Versions, next.Revision = r.Replicas, r.Versions, r.Revision
-		next.ReadAt = f.Clock() - r.Age
-	}
-	f.state.Store(&next)
-}
-
-func (f *Follower) apply(list fuchsiaspoke.PublicationList) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	next := *f.Published()
-	next.Replicas = maps.Clone(next.Replicas)
-	next.Versions = maps.Clone(next.Versions)
-	for _, p := range list.Items {
-		if p.Revision > next.Revision {
-			f.one(&next, p)
-		}
-	}
-	f.expire(&next)
-	f.store(next, list.Revision)
-}
-
-// replace applies a whole list: what it lacks is gone, but for replicas that may not be back yet after an outage.
-func (f *Follower) replace(list fuchsiaspoke.PublicationList) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	next := *f.Published()
-	if list.Revision < next.Revision {
-		return
-	}
-	old := next.Replicas
-	next.Replicas = make(map[string]fuchsiaspoke.Replica, len(list.Items))
-	next.Versions = make(map[string]map[string]int64)
-	for _, p := range list.Items {
-		f.one(&next, p)
-	}
-	now := f.Clock()
-	for name, r := range old {
-		if _, listed := next.Replicas[name]; listed || !f.mayReturn(now) {
-			continue
-		}
-		next.Replicas[name] = r
-		f.miss(name, now)
-	}
-	f.store(next, list.Revision)
-}
-
-func (f *Follower) mayReturn(now time.Duration) bool {
-	return f.failing || f.healed > 0 && now-f.healed < returnTime
-}
-
-func (f *Follower) miss(name string, now time.Duration) {
-	if f.missing == nil {
-		f.missing = make(map[string]time.Duration)
-	}
-	if _, known := f.missing[name]; !known {
-		f.missing[name] = now
-	}
-}
-
-func (f *Follower) expire(next *fuchsiaspoke.Published) {
-	for name, since := range f.missing {
-		if f.Clock()-since >= returnTime {
-			f.Log("replica gone", "replica", name, "reason", "not back after the platform's outage")
-			delete(next.Replicas, name)
-			delete(f.missing, name)
-		}
-	}
-}
-
-func (f *Follower) one(next *fuchsiaspoke.Published, p fuchsiaspoke.Publication) {
-	switch {
-	case p.Fault != nil:
-		f.Log("publication not usable", "name", p.Name, "revision", p.Revision, "error", p.Fault.Error())
-		delete(next.Replicas, p.Name)
-	case p.Withdrawn:
-		if _, known := next.Replicas[p.Name]; known {
-			f.Log("replica gone", "replica", p.Name, "revision", p.Revision)
-		}
-		delete(next.Replicas, p.Name)
-		delete(f.missing, p.Name)
-	case p.Contract != nil:
-		if f.take(next, p.Contract, p.Raw) {
-			f.Log("contract in force", "version", p.Contract.Version, "from", "platform")
-		}
-	case p.Replica != nil:
-		f.replica(next, p)
-	case p.Adapter != nil:
-		f.version(next, p)
-	}
-}
-
-func (f *Follower) replica(next *fuchsiaspoke.Published, p fuchsiaspoke.Publication) {
-	old, known := next.Replicas[p.Name]
-	if next.Replicas == nil {
-		next.Replicas = make(map[string]fuchsiaspoke.Replica)
-	}
-	if !known || old.State != p.Replica.State || old.Born != p.Replica.Born || old.Address != p.Replica.Address {
-		f.Log("replica published", "replica", p.Replica.ID, "state", string(p.Replica.State),
-			"address", p.Replica.Address, "born", p.Replica.Born, "revision", p.Revision)
-	}
-	next.Replicas[p.Name] = *p.Replica
-	delete(f.missing, p.Name)
-}
-
-func (f *Follower) version(next *fuchsiaspoke.Published, p fuchsiaspoke.Publication) {
-	if next.Versions == nil {
-		next.Versions = make(map[string]map[string]int64)
-	}
-	model := maps.Clone(next.Versions[p.Adapter.Model])
-	if model == nil {
-		model = make(map[string]int64)
-	}
-	model[p.Adapter.Adapter.Name] = max(model[p.Adapter.Adapter.Name], p.Adapter.Adapter.Version)
-	next.Versions[p.Adapter.Model] = model
-}
-
-// take puts a contract in force where it is newer; a process never goes back.
-func (f *Follower) take(next *fuchsiaspoke.Published, c *fuchsiaspoke.Contract, raw []byte) bool {
-	if next.Contract != nil && c.Version <= next.Contract.Version {
-		return false
-	}
-	next.Contract, next.ContractRaw = c, raw
-	return true
-}
-
-func (f *Follower) store(next fuchsiaspoke.Published, revision int64) {
-	next.Revision = max(next.Revision, revision)
-	next.ReadAt = f.Clock()
-	f.state.Store(&next)
-}
-
 func sleep(ctx context.Context, wait time.Duration) {
 	if wait <= 0 {
 		return
--- a/contract/follower/follower_test.go
+++ b/contract/follower/follower_test.go
@@ -17,6 +17,7 @@
 	revision int64
 	items    map[string]fuchsiaspoke.Publication
 	events   []fuchsiaspoke.Publication
+	calls    int
 	// deaf calls that begin before that time are never answered.
 	deaf time.Time
 	gone bool
@@ -40,6 +41,7 @@
 
 func (p *publisher) answer(ctx context.Context) error {
 	p.mu.Lock()
+	p.calls++
 	deaf, down := time.Now().Before(p.deaf), p.down
 	p.mu.Unlock()
 	if deaf {
@@ -177,7 +179,7 @@
 	p := &publisher{down: true}
 	f := start(t, p)
 	relay := fuchsiaspoke.PublishedRelay{
-		Revision: 40, Replicas: map[string]fuchsiaspoke.Replica{"r": {ID: "r", State: fuchsiaspoke.ReplicaReady}},
+		Revision: 40, Whole: true, Replicas: map[string]fuchsiaspoke.Replica{"r": {ID: "r", State: fuchsiaspoke.ReplicaReady}},
 	}
 	f.Relay(&fuchsiaspoke.Contract{Version: 7}, relay, "peer")
 	if version(f) != 7 || len(f.Published().Replicas) != 1 {
--- a/vm/entry/engines.go
+++ b/vm/entry/engines.go
@@ -13,6 +13,8 @@
 const (
 	// tickTime is the time between two decisions about engines.
 	tickTime = 100 * time.Millisecond
+	// takeTime is what taking an engine needs beyond a lease: the lag of its report, a look, and a heartbeat that tells of it.
+	takeTime = 1200 * time.Millisecond
 	// lookTimeout bounds the question for an engine's count of orders.
 	lookTimeout = 700 * time.Millisecond
 )
@@ -53,6 +55,11 @@
 	e.peersLost(now)
 }
 
+// opensIn is how long it takes until engines are ordered for, if none is: a fresh VM listens, and watches for a lease.
+func (e *Entry) opensIn() time.Duration {
+	return max(e.roster.SettleTime()+e.steward.Lease+takeTime-e.timer.Now(), 0)
+}
+
 // engines are the replicas of engine services that take work.
 func (e *Entry) engines() map[string]fuchsiaspoke.Replica {
 	p := e.follower.Published()
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -171,7 +171,8 @@
 	}
 	e.dialer = &dialer.Dialer{TLS: e.tls}
 	e.follower = &follower.Follower{
-		Platform: e.Platform.Publisher, Clock: e.timer.Now, Limit: e.Bounds.LeavingLimit, Log: e.Log,
+		Platform: e.Platform.Publisher, Clock: e.timer.Now, Limit: e.Bounds.LeavingLimit,
+		Reads: e.reads, Log: e.Log,
 	}
 	e.broker = &broker.Broker{Peers: &e.roster, Dialer: e.dialer, Clock: e.timer.Now}
 	e.budgets = budgets{ratio: e.Bounds.RetryRatio, slack: e.Bounds.RetrySlack, vms: e.fleet}
@@ -179,6 +180,7 @@
 	e.sender = &sender.Sender{
 		Published: e.follower.Published, Exchanger: &e.exchanger, Dialect: e.Platform.Replicas, Broker: e.broker,
 		Assessor: &e.assessor, Budget: &e.budgets, Clock: e.timer.Now, Log: e.Log, Observe: e.Observe,
+		OpensIn: e.opensIn,
 	}
 	return nil
 }
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -10,6 +10,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/budgeter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -18,9 +19,13 @@
 	// methodPublished is the call for what another VM knows of what is published.
 	methodPublished = "published.get"
 	// pullTimeout bounds that call.
-	pullTimeout = 800 * time.Millisecond
-	// staleRead is how old what is published may be before a VM asks its peers.
-	staleRead = 3500 * time.Millisecond
+	pullTimeout = 400 * time.Millisecond
+	// leastReaders is how many VMs read the platform for all in a small fleet; one of them may die or be turned away.
+	leastReaders = 2
+	// vmsPerReader adds a reader in larger fleets, so that each VM hears one within a part of a heartbeat.
+	vmsPerReader = 20
+	// readDuty is what VMs are ranked for.
+	readDuty = "read the platform"
 	// budgetShare is the part of the retry slack of all VMs that they give out among themselves.
 	budgetShare = 0.7
 	// unknownFleet is how many VMs there are taken to be while none is known.
@@ -34,7 +39,7 @@
 	spent, level := e.sharer.Report()
 	s := fuchsiaspoke.VMState{
 		VM: e.VM, Incarnation: e.incarnation, Beat: e.beat.Add(1), Uptime: now, Ready: e.Ready(), Leaving: e.Leaving(),
-		Spent: spent, Level: level, Revision: p.Revision, Engines: e.broker.Views(),
+		Spent: spent, Level: level, Revision: p.Revision, ReadAge: now - p.ReadAt, Engines: e.broker.Views(),
 	}
 	if p.Contract != nil {
 		s.ContractVersion = p.Contract.Version
@@ -95,43 +100,71 @@
 	}
 	e.sharer.Observe(now, s)
 	p := e.follower.Published()
-	behind := p.Contract == nil || s.ContractVersion > p.Contract.Version
-	stale := now-p.ReadAt > staleRead && s.Revision > p.Revision
-	if (behind && s.ContractVersion > 0 || stale) && e.pulling.CompareAndSwap(false, true) {
-		go e.pull(s.VM)
+	e.follower.Confirm(s.Revision, s.ReadAge)
+	e.follower.Want(s.ContractVersion)
+	behind := s.ContractVersion > 0 && (p.Contract == nil || s.ContractVersion > p.Contract.Version)
+	newer := s.Revision > p.Revision && (e.follower.Stale() || !e.reads())
+	if behind {
+		// The platform is asked first, unless it doesn't answer.
+		newer = e.follower.Failing()
 	}
+	if newer && e.pulling.CompareAndSwap(false, true) {
+		go e.pull(s.VM, behind)
+	}
+}
+
+// reads reports whether this VM is one of those that read the platform for all.
+func (e *Entry) reads() bool {
+	mine, ahead, all := ranker.Weight(readDuty, e.VM.ID), 0, 1
+	for _, p := range e.roster.Live(e.timer.Now()) {
+		if !p.State.Ready {
+			continue
+		}
+		all++
+		if ranker.Weight(readDuty, p.State.VM.ID) > mine {
+			ahead++
+		}
+	}
+	return ahead < leastReaders+all/vmsPerReader
 }
 
 // pull asks another VM for what is published, as where the platform doesn't serve this one.
-func (e *Entry) pull(vm fuchsiaspoke.VM) {
+func (e *Entry) pull(vm fuchsiaspoke.VM, contract bool) {
 	defer e.pulling.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
+	p := e.follower.Published()
+	ask := fuchsiaspoke.PublishedAsk{Revision: p.Revision, Contract: contract}
+	if p.Contract != nil {
+		ask.ContractVersion = p.Contract.Version
+	}
 	var relay fuchsiaspoke.PublishedRelay
-	err := e.dialer.Call(ctx, vm, methodPublished, struct{}{}, func(raw cbor.RawMessage) error {
+	err := e.dialer.Call(ctx, vm, methodPublished, ask, func(raw cbor.RawMessage) error {
 		return cbor.Unmarshal(raw, &relay)
 	})
 	if err != nil {
 		e.Log("pull of what is published failed", "peer", vm.ID, "error", err.Error())
 		return
 	}
-	contract, err := e.Platform.Publisher.Decode(relay.ContractRaw)
-	if err != nil {
-		e.Log("contract of a peer not usable", "peer", vm.ID, "error", err.Error())
-		return
+	var newest *fuchsiaspoke.Contract
+	if len(relay.ContractRaw) > 0 {
+		if newest, err = e.Platform.Publisher.Decode(relay.ContractRaw); err != nil {
+			e.Log("contract of a peer not usable", "peer", vm.ID, "error", err.Error())
+			return
+		}
 	}
-	e.follower.Relay(contract, relay, vm.ID)
+	e.follower.Relay(newest, relay, vm.ID)
 }
 
-func (e *Entry) servePublished(_ context.Context, _ string, _ frame.Frame, send func(any) error) error {
-	p := e.follower.Published()
-	if p.Contract == nil {
+func (e *Entry) servePublished(_ context.Context, _ string, request frame.Frame, send func(any) error) error {
+	var ask fuchsiaspoke.PublishedAsk
+	if err := cbor.Unmarshal(request.Body, &ask); err != nil {
+		return errors.Wrap(err, "read what the peer knows")
+	}
+	if e.follower.Published().Contract == nil {
 		return errors.New("nothing is known here")
 	}
-	return send(fuchsiaspoke.PublishedRelay{
-		ContractRaw: p.ContractRaw, Replicas: p.Replicas, Versions: p.Versions, Revision: p.Revision,
-		Age: e.timer.Now() - p.ReadAt,
-	})
+	return send(e.follower.Tell(ask))
 }
 
 // fleet is how many VMs there are, as far as this one knows.
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -71,11 +71,12 @@
 // place gets a place at the engine with the least predicted wait.
 func (t *try) place(ctx context.Context) (*broker.Place, fuchsiaspoke.Replica, error) {
 	var refused *fuchsiaspoke.Refusal
-	asked := 0
+	asked, open := 0, false
 	for _, choice := range t.choices() {
 		if asked >= maxAsks || ctx.Err() != nil {
 			break
 		}
+		open = open || choice.Open
 		if !choice.Open && !t.keeps(choice) {
 			continue
 		}
@@ -91,6 +92,9 @@
 	if refused != nil && !t.unknown && !t.ran {
 		return nil, fuchsiaspoke.Replica{}, refused
 	}
+	if !open {
+		return nil, fuchsiaspoke.Replica{}, t.refuseUntil(t.OpensIn(), "no VM orders for engines yet")
+	}
 	return nil, fuchsiaspoke.Replica{}, t.refuse(http.StatusServiceUnavailable, "no engine has a place in time")
 }
 
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -64,6 +65,8 @@
 	Log       func(event string, keysAndValues ...any)
 	// Observe is told how long a generation's first event took, and how long it was predicted to take.
 	Observe func(predicted, real time.Duration)
+	// OpensIn is when VMs will likely order for engines again, as after the start of all; 0 is now.
+	OpensIn func() time.Duration
 }
 
 // Serve answers one request. Its error is a *fuchsiaspoke.Refusal where nothing went out yet, ErrCut, or ErrCallerLeft.
@@ -208,6 +211,17 @@
 	}.WithRetryAfter(comeBack)
 }
 
+// refuseUntil refuses what nobody can serve for some time; callers come back spread over half of that time more.
+func (t *try) refuseUntil(opens time.Duration, reason string) error {
+	err := t.refuse(http.StatusServiceUnavailable, reason)
+	var r *fuchsiaspoke.Refusal
+	if !errors.As(err, &r) || r.Run != fuchsiaspoke.NotRun {
+		return err
+	}
+	spread := time.Duration(rand.Float64() * float64(opens) / 2)
+	return r.WithRetryAfter(max(opens+spread, comeBack))
+}
+
 func (t *try) deliver(r *reply) error {
 	t.out.Head(r.status, r.header, len(r.body))
 	if err := t.out.Body(r.body); err != nil {
--- a/vm_state.go
+++ b/vm_state.go
@@ -23,6 +23,8 @@
 	Peers []HeardVM `cbor:"10,keyasint,omitempty"`
 	// Revision is the platform's count of changes as far as the VM knows it.
 	Revision int64 `cbor:"11,keyasint,omitempty"`
+	// ReadAge is how long ago the platform said that nothing was newer than Revision.
+	ReadAge time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // EngineClaim says which VM told that it orders for an engine, under which fencing number, and when it was heard.
