Read the suspended-time clock in one place; drop fields that nothing reads

Left by earlier work: CLOCK_BOOTTIME stood in vm/timer and in idempotency/internal/boottime; the exchanger's conn.lastUsed and Reading.Leaving were set and never read. quic-go's note on socket buffers went to standard error between the structured lines; it is switched off.

--- a/cmd/fuchsiaspoke/main.go
+++ b/cmd/fuchsiaspoke/main.go
@@ -39,6 +39,9 @@
 
 func (e exitError) Error() string { return fmt.Sprintf("exit code %d", int(e)) }
 
+// quietQUIC keeps quic-go from writing about small socket buffers to standard error, between our structured lines.
+const quietQUIC = "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING"
+
 func main() {
 	os.Exit(start())
 }
@@ -58,6 +61,9 @@
 	// The files of check and explain are more values than flaggy can declare.
 	flaggy.DefaultParser.ShowHelpOnUnexpected = len(arguments("check")) == 0 && len(arguments("explain")) == 0
 	flaggy.Parse()
+	if err := os.Setenv(quietQUIC, "true"); err != nil {
+		return exitCode(err)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	for i, c := range commands {
--- a/idempotency/executor/executor.go
+++ b/idempotency/executor/executor.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
-	"github.com/fuchsiaspoke/fuchsiaspoke/idempotency/internal/boottime"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/timer"
 	"github.com/pkg/errors"
 )
 
@@ -274,7 +274,7 @@
 
 func (e *Executor) now() time.Duration {
 	if e.Clock == nil {
-		return boottime.Now()
+		return timer.Boot()
 	}
 	return e.Clock()
 }
--- a/idempotency/issuer/issuer.go
+++ b/idempotency/issuer/issuer.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
-	"github.com/fuchsiaspoke/fuchsiaspoke/idempotency/internal/boottime"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/timer"
 	"github.com/pkg/errors"
 )
 
@@ -150,7 +150,7 @@
 
 func (i *Issuer) now() time.Duration {
 	if i.Clock == nil {
-		return boottime.Now()
+		return timer.Boot()
 	}
 	return i.Clock()
 }
--- a/send.go
+++ b/send.go
@@ -21,6 +21,4 @@
 	Elsewhere bool
 	// Usable answers are the replica's own and may be passed on.
 	Usable bool
-	// Leaving replicas close their connections.
-	Leaving bool
 }
--- a/upstream/exchanger/answer.go
+++ b/upstream/exchanger/answer.go
@@ -41,7 +41,6 @@
 		return
 	}
 	a.conn.idleUntil = time.Now().Add(keepFor(a.Header))
-	a.conn.lastUsed = time.Now()
 	a.pool.put(a.address, a.conn)
 }
 
--- a/upstream/exchanger/conn.go
+++ b/upstream/exchanger/conn.go
@@ -15,7 +15,6 @@
 	raw       net.Conn
 	reader    *bufio.Reader
 	idleUntil time.Time
-	lastUsed  time.Time
 	once      sync.Once
 }
 
--- a/vm/timer/timer.go
+++ b/vm/timer/timer.go
@@ -16,12 +16,13 @@
 
 // Now returns the time since the first call, by CLOCK_BOOTTIME.
 func (t *Timer) Now() time.Duration {
-	now := boottime()
+	now := Boot()
 	t.once.Do(func() { t.start = now })
 	return now - t.start
 }
 
-func boottime() time.Duration {
+// Boot returns the time since the machine started; a failed read panics, as no deadline could be kept without it.
+func Boot() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		panic("CLOCK_BOOTTIME cannot be read: " + err.Error())
