--- a/contract.go
+++ b/contract.go
@@ -53,8 +53,6 @@
 // Service is a group of replicas that answer alike.
 type Service struct {
 	Name string
-	// MaxConnections bounds the connections that one replica accepts from all VMs together.
-	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *EngineLimits
 }
@@ -109,10 +107,9 @@
 
 // RequestLimits bound what a caller may send.
 type RequestLimits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// HeaderBytes bounds the names and values of a request's header fields, BodyBytes its body; 0 is the product's own bound.
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Route returns the route with the longest path prefix of the host that begins the path.
