Send nothing to an engine that began to leave while the request waited

Change: before a choice is asked, and when its place is granted, the replica must still take work, in the same start of it.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -23,6 +23,9 @@
 	maxPlaces = 4
 )
 
+// errLeft is the cause of a place that isn't used.
+var errLeft = errors.New("the engine began to leave")
+
 // generate answers a request to a model engine.
 func (t *try) generate(ctx context.Context) error {
 	relay := &relay{out: t.out, last: t.work.LastEvent, resumable: t.work.Route.Resumable}
@@ -80,7 +83,7 @@
 			break
 		}
 		open = open || choice.Open
-		if !choice.Open && !t.keeps(choice) {
+		if !choice.Open && !t.keeps(choice) || !t.takesWork(choice.Replica) {
 			continue
 		}
 		asked++
@@ -116,8 +119,19 @@
 	}
 }
 
-// placeAt asks the VM that orders for one engine; where there is none, the request may go to what the engine holds.
+// placeAt gets a place at one engine, unless the engine began to leave while the request waited for it.
 func (t *try) placeAt(ctx context.Context, choice selector.Choice, limit time.Duration) (*broker.Place, error) {
+	place, err := t.askAt(ctx, choice, limit)
+	if err != nil || t.takesWork(choice.Replica) {
+		return place, err
+	}
+	place.End()
+	t.Log("place given back", "request", t.work.ID, "engine", choice.Replica.ID, "reason", "the engine began to leave")
+	return nil, errLeft
+}
+
+// askAt asks the VM that orders for one engine; where there is none, the request may go to what the engine holds.
+func (t *try) askAt(ctx context.Context, choice selector.Choice, limit time.Duration) (*broker.Place, error) {
 	err := broker.ErrNoHolder
 	if choice.Open {
 		var place *broker.Place
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -98,6 +98,16 @@
 	return out
 }
 
+// takesWork reports whether the replica, in this start of it, still takes work.
+func (s *Sender) takesWork(r fuchsiaspoke.Replica) bool {
+	for _, now := range s.Published().Replicas {
+		if now.ID == r.ID {
+			return now.State == fuchsiaspoke.ReplicaReady && now.Address == r.Address && now.Born == r.Born
+		}
+	}
+	return false
+}
+
 // try is one request on its way.
 type try struct {
 	*Sender
