--- a/contract/follower/follower_test.go
+++ b/contract/follower/follower_test.go
@@ -102,8 +102,15 @@
 }
 
 func start(t *testing.T, p *publisher) *follower.Follower {
+	t.Helper()
+	return run(t, &follower.Follower{Platform: p})
+}
+
+// run has the follower read until the test ends.
+func run(t *testing.T, f *follower.Follower) *follower.Follower {
+	t.Helper()
 	began := time.Now()
-	f := &follower.Follower{Platform: p, Clock: func() time.Duration { return time.Since(began) }, Log: func(string, ...any) {}}
+	f.Clock, f.Log = func() time.Duration { return time.Since(began) }, func(string, ...any) {}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := f.Run(ctx)
 	t.Cleanup(func() {
--- a/contract/follower/relay_test.go
+++ b/contract/follower/relay_test.go
@@ -1,8 +1,6 @@
 package follower_test
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"reflect"
@@ -19,20 +17,7 @@
 // follow starts a follower that reads for others, or one that doesn't.
 func follow(t *testing.T, p *publisher, reads bool) *follower.Follower {
 	t.Helper()
-	began := time.Now()
-	f := &follower.Follower{
-		Platform: p, Clock: func() time.Duration { return time.Since(began) }, Log: func(string, ...any) {}, Limit: limit,
-		Reads: func() bool { return reads },
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := f.Run(ctx)
-	t.Cleanup(func() {
-		cancel()
-		if err := <-done; !errors.Is(err, context.Canceled) {
-			t.Error(err)
-		}
-	})
-	return f
+	return run(t, &follower.Follower{Platform: p, Limit: limit, Reads: func() bool { return reads }})
 }
 
 // pass tells one follower what another knows, as heartbeats and pulls do.
