Read the platform at once where a peer doesn't pass its news on

Ruled out: the platform's own lateness (no VM lost it), contracts (read by each VM).

Change: a pull that fails (after 250 ms instead of 400) makes the VM ask the platform at once; knowledge counts as stale at 0.4 of the limit instead of half.

--- a/contract/follower/follower.go
+++ b/contract/follower/follower.go
@@ -28,9 +28,9 @@
 	retryPause = 250 * time.Millisecond
 	// staleShare is how old what is known may be, as a part of Limit, before a VM that doesn't read for others asks itself: a
 	// call that is lost and one more fit in the limit.
-	staleShare = 0.5
+	staleShare = 0.4
 	// idleTime is the pause between two looks at whether this VM should read.
-	idleTime = 100 * time.Millisecond
+	idleTime = 50 * time.Millisecond
 	// returnTime is how long after an outage of the platform a missing replica may still come back.
 	returnTime = 2500 * time.Millisecond
 )
@@ -56,8 +56,9 @@
 	state   atomic.Pointer[fuchsiaspoke.Published]
 	mu      sync.Mutex
 	changes changes
-	// wanted is the newest contract version that a peer has.
+	// wanted is the newest contract version that a peer has, and missed the newest revision that one did not pass on.
 	wanted atomic.Int64
+	missed atomic.Int64
 	// missing is since when a replica is missing after an outage.
 	missing map[string]time.Duration
 	failing bool
@@ -113,9 +114,16 @@
 	return f.Reads != nil && !f.Reads() && !f.Stale() && !f.behind()
 }
 
+// Missed tells that a peer knows of a revision and did not pass it on; this VM then asks the platform at once.
+func (f *Follower) Missed(revision int64) {
+	if revision > f.missed.Load() {
+		f.missed.Store(revision)
+	}
+}
+
 func (f *Follower) behind() bool {
-	c := f.Published().Contract
-	return c == nil || c.Version < f.wanted.Load()
+	p := f.Published()
+	return p.Contract == nil || p.Contract.Version < f.wanted.Load() || p.Revision < f.missed.Load()
 }
 
 // Want tells that a peer has a contract of a version; contracts are large, so they are read from the platform if it answers.
--- a/contract/follower/relay_test.go
+++ b/contract/follower/relay_test.go
@@ -79,6 +79,26 @@
 	})
 }
 
+// The pattern: many replicas change, and the few VMs that read the platform are too busy to pass all of it on
+// (liuteria-commesse-grown, mix, seed 302537015557: a leaving replica was used for 3 s).
+func TestAVMWhosePeersAreTooBusyAsksThePlatformAtOnce(t *testing.T) {
+	const soon = limit / 8
+	p := &publisher{}
+	p.put(contract(1))
+	f := follow(t, p, false)
+	within(t, time.Second, "the contract", func() bool { return version(f) == 1 })
+	for n := range 5 {
+		// Its own last call is longer ago than the pause between two.
+		for range 10 {
+			time.Sleep(limit / 20)
+			f.Confirm(f.Published().Revision, 0)
+		}
+		p.put(replica(fmt.Sprint(n)))
+		f.Missed(f.Published().Revision + 1)
+		within(t, soon, "the replica", func() bool { return len(f.Published().Replicas) == n+1 })
+	}
+}
+
 // The pattern: a VM is cut off from all others, and not from the platform.
 func TestAVMWithoutNewsAsksThePlatformInTime(t *testing.T) {
 	p := &publisher{}
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -19,7 +19,7 @@
 	// methodPublished is the call for what another VM knows of what is published.
 	methodPublished = "published.get"
 	// pullTimeout bounds that call.
-	pullTimeout = 400 * time.Millisecond
+	pullTimeout = 250 * time.Millisecond
 	// leastReaders is how many VMs read the platform for all in a small fleet; one of them may die or be turned away.
 	leastReaders = 2
 	// vmsPerReader adds a reader in larger fleets, so that each VM hears one within a part of a heartbeat.
@@ -109,7 +109,7 @@
 		newer = e.follower.Failing()
 	}
 	if newer && e.pulling.CompareAndSwap(false, true) {
-		go e.pull(s.VM, behind)
+		go e.pull(s, behind)
 	}
 }
 
@@ -129,8 +129,9 @@
 }
 
 // pull asks another VM for what is published, as where the platform doesn't serve this one.
-func (e *Entry) pull(vm fuchsiaspoke.VM, contract bool) {
+func (e *Entry) pull(s fuchsiaspoke.VMState, contract bool) {
 	defer e.pulling.Store(false)
+	vm := s.VM
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	p := e.follower.Published()
@@ -143,7 +144,8 @@
 		return cbor.Unmarshal(raw, &relay)
 	})
 	if err != nil {
-		e.Log("pull of what is published failed", "peer", vm.ID, "error", err.Error())
+		e.Log("pull of what is published failed", "peer", vm.ID, "revision", s.Revision, "error", err.Error())
+		e.follower.Missed(s.Revision)
 		return
 	}
 	var newest *fuchsiaspoke.Contract
