--- a/contract/follower/follower.go
+++ b/contract/follower/follower.go
@@ -111,14 +111,12 @@
 
 // idle reports whether other VMs read the platform for this one.
 func (f *Follower) idle() bool {
-	return f.Reads != nil && !f.Reads() && !f.Stale() && !f.behind()
+	return f.Reads != nil && !f.Stale() && !f.behind() && !f.Reads()
 }
 
 // Missed tells that a peer knows of a revision and did not pass it on; this VM then asks the platform at once.
 func (f *Follower) Missed(revision int64) {
-	if revision > f.missed.Load() {
-		f.missed.Store(revision)
-	}
+	raise(&f.missed, revision)
 }
 
 func (f *Follower) behind() bool {
@@ -128,8 +126,13 @@
 
 // Want tells that a peer has a contract of a version; contracts are large, so they are read from the platform if it answers.
 func (f *Follower) Want(version int64) {
-	if version > f.wanted.Load() {
-		f.wanted.Store(version)
+	raise(&f.wanted, version)
+}
+
+// raise sets the number to n unless it is higher already.
+func raise(number *atomic.Int64, n int64) {
+	for known := number.Load(); n > known && !number.CompareAndSwap(known, n); {
+		known = number.Load()
 	}
 }
 
--- a/engine_ask.go
+++ b/engine_ask.go
@@ -16,6 +16,9 @@
 	MaxWait time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
+// Slower reports whether a predicted wait is longer than the ask may have.
+func (a EngineAsk) Slower(wait time.Duration) bool { return a.MaxWait > 0 && wait > a.MaxWait }
+
 // EngineGrant is a part of the answer to an EngineAsk: queued first, then the place itself.
 type EngineGrant struct {
 	// Granted says that the request may be sent; until then the ask is waiting.
--- a/upstream/assessor/assessor.go
+++ b/upstream/assessor/assessor.go
@@ -138,14 +138,3 @@
 	}
 	return r
 }
-
-// Forget drops the records of replicas that are gone.
-func (a *Assessor) Forget(keep func(id string) bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for id := range a.records {
-		if !keep(id) {
-			delete(a.records, id)
-		}
-	}
-}
--- a/upstream/exchanger/answer.go
+++ b/upstream/exchanger/answer.go
@@ -72,5 +72,3 @@
 	}
 	return defaultIdle
 }
-
-func itoa(n int) string { return strconv.Itoa(n) }
--- a/upstream/exchanger/exchanger.go
+++ b/upstream/exchanger/exchanger.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -43,9 +44,9 @@
 // An error of type *fuchsiaspoke.SendError says whether the replica may have received anything. mine tells the answer
 // to this message from one to an earlier message that came late.
 func (e *Exchanger) Send(
-	ctx context.Context, address string, m fuchsiaspoke.Message, fresh bool, mine func(http.Header) bool,
+	ctx context.Context, address string, m fuchsiaspoke.Message, mine func(http.Header) bool,
 ) (*Answer, error) {
-	c, err := e.take(ctx, address, fresh)
+	c, err := e.take(ctx, address)
 	if err != nil {
 		return nil, &fuchsiaspoke.SendError{Peer: address, Step: "connect", NotSent: true, Cause: err}
 	}
@@ -82,12 +83,8 @@
 	}
 }
 
-func (e *Exchanger) take(ctx context.Context, address string, fresh bool) (*conn, error) {
-	for !fresh {
-		c := e.pop(address)
-		if c == nil {
-			break
-		}
+func (e *Exchanger) take(ctx context.Context, address string) (*conn, error) {
+	for c := e.pop(address); c != nil; c = e.pop(address) {
 		if c.usable(time.Now()) {
 			return c, nil
 		}
@@ -133,7 +130,7 @@
 	b.WriteString(m.Method + " " + m.Target + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
 	_ = m.Header.Write(&b)
 	if len(m.Body) > 0 || m.Method != http.MethodGet {
-		b.WriteString("Content-Length: " + itoa(len(m.Body)) + "\r\n")
+		b.WriteString("Content-Length: " + strconv.Itoa(len(m.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	b.Write(m.Body)
--- a/upstream/keeper/keeper.go
+++ b/upstream/keeper/keeper.go
@@ -82,14 +82,13 @@
 // that would wait beyond its limit isn't taken on, and ends after send was told so.
 func (k *Keeper) Ask(ctx context.Context, ask fuchsiaspoke.EngineAsk, send func(fuchsiaspoke.EngineGrant) error) error {
 	decided := make(chan verdict, 1)
-	wait, slower := k.slower(ask)
-	if slower {
-		return send(fuchsiaspoke.EngineGrant{Slower: true, Wait: wait})
-	}
 	wait, refusal := k.offer(ask, decided)
 	if refusal != nil {
 		return refusal
 	}
+	if ask.Slower(wait) {
+		return send(fuchsiaspoke.EngineGrant{Slower: true, Wait: wait})
+	}
 	defer k.cancel(ask.ID)
 	if err := send(fuchsiaspoke.EngineGrant{Wait: wait}); err != nil {
 		return err
@@ -114,18 +113,6 @@
 	return ctx.Err()
 }
 
-// slower reports whether the ask would wait for longer than it may.
-func (k *Keeper) slower(ask fuchsiaspoke.EngineAsk) (time.Duration, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if ask.MaxWait == 0 || k.silent {
-		return 0, false
-	}
-	k.init()
-	wait := k.plan.Predict(k.Clock(), ask)
-	return wait, wait > ask.MaxWait
-}
-
 func (k *Keeper) offer(ask fuchsiaspoke.EngineAsk, decided chan verdict) (time.Duration, *fuchsiaspoke.Refusal) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -134,7 +121,7 @@
 		return 0, silentEngine()
 	}
 	wait, refusal := k.plan.Offer(k.Clock(), ask)
-	if refusal == nil {
+	if refusal == nil && !ask.Slower(wait) {
 		k.grants[ask.ID] = decided
 		k.wake()
 	}
--- a/upstream/scheduler/scheduler.go
+++ b/upstream/scheduler/scheduler.go
@@ -90,21 +90,15 @@
 	newest int64
 }
 
-// Predict estimates the time to the first event of an ask that is not taken on yet.
-func (s *Scheduler) Predict(now time.Duration, e fuchsiaspoke.EngineAsk) time.Duration {
-	s.init()
-	return s.predict(now, s.ask(now, e))
-}
-
-func (s *Scheduler) ask(now time.Duration, e fuchsiaspoke.EngineAsk) *ask {
-	return &ask{EngineAsk: e, came: now, due: now + e.DueIn, deadline: now + e.LeftIn, unread: s.prompts.unread(e.Demand)}
-}
-
-// Offer takes an ask on, with the predicted time to its first event, or refuses it with a time to come back.
+// Offer takes an ask on, with the predicted time to its first event, or refuses it with a time to come back. An ask for which
+// that wait is too long isn't taken on either, and isn't refused: another engine may be faster.
 func (s *Scheduler) Offer(now time.Duration, e fuchsiaspoke.EngineAsk) (time.Duration, *fuchsiaspoke.Refusal) {
 	s.init()
-	a := s.ask(now, e)
+	a := &ask{EngineAsk: e, came: now, due: now + e.DueIn, deadline: now + e.LeftIn, unread: s.prompts.unread(e.Demand)}
 	wait := s.predict(now, a)
+	if e.Slower(wait) {
+		return wait, nil
+	}
 	if limit := time.Duration(float64(e.LeftIn) * servable); wait > max(limit, e.DueIn) || wait > e.LeftIn {
 		return wait, overloaded(wait - e.DueIn/2)
 	}
--- a/upstream/selector/selector.go
+++ b/upstream/selector/selector.go
@@ -65,14 +65,9 @@
 
 // Select returns the engines that may take the demand, best first.
 func (s Selector) Select(d fuchsiaspoke.Demand, candidates []Candidate) []Choice {
-	ranked := slices.Clone(candidates)
+	ranked := candidates
 	if d.Adapter != "" {
-		slices.SortFunc(ranked, func(a, b Candidate) int {
-			return cmp.Or(
-				cmp.Compare(ranker.Weight(d.Adapter, b.Replica.ID), ranker.Weight(d.Adapter, a.Replica.ID)),
-				cmp.Compare(a.Replica.ID, b.Replica.ID),
-			)
-		})
+		ranked = ranker.Sort(d.Adapter, candidates, func(c Candidate) string { return c.Replica.ID })
 	}
 	choices := make([]Choice, 0, len(ranked))
 	for rank, c := range ranked {
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -220,8 +220,7 @@
 	})
 	if err != nil {
 		t.note(r, began, err)
-		var sendErr *fuchsiaspoke.SendError
-		return outcome{err: err, notSent: errors.As(err, &sendErr) && sendErr.NotSent, done: t.caller.Err() != nil}
+		return outcome{err: err, notSent: notSent(err), done: t.caller.Err() != nil}
 	}
 	defer answer.Close()
 	reading := t.Dialect.Read(t.work, answer.Status, answer.Header)
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -168,9 +168,7 @@
 			last = keepReply(last, r)
 			continue
 		}
-		var sendErr *fuchsiaspoke.SendError
-		notSent := errors.As(err, &sendErr) && sendErr.NotSent
-		if notSent {
+		if notSent(err) {
 			continue
 		}
 		t.unknown = true
@@ -294,26 +292,29 @@
 
 // note records why a send brought no answer.
 func (t *try) note(r fuchsiaspoke.Replica, began time.Duration, err error) {
-	var sendErr *fuchsiaspoke.SendError
-	notSent := errors.As(err, &sendErr) && sendErr.NotSent
 	if t.caller.Err() != nil {
 		t.Assessor.Left(r.ID)
 	} else {
 		t.Assessor.Silent(t.Clock(), r.ID)
 		t.Exchanger.Forget(r.Address)
 	}
-	t.Log("send failed", "request", t.work.ID, "replica", r.ID, "address", r.Address, "not_sent", notSent,
+	t.Log("send failed", "request", t.work.ID, "replica", r.ID, "address", r.Address, "not_sent", notSent(err),
 		"caller_left", t.caller.Err() != nil, "took_ms", (t.Clock() - began).Milliseconds(), "error", err.Error())
 }
 
 func (t *try) send(ctx context.Context, send fuchsiaspoke.Send) (*exchanger.Answer, error) {
 	m := t.Dialect.Dress(t.message, t.work, send)
-	answer, err := t.Exchanger.Send(ctx, send.Replica.Address, m, false, func(h http.Header) bool {
+	answer, err := t.Exchanger.Send(ctx, send.Replica.Address, m, func(h http.Header) bool {
 		return t.Dialect.Mine(t.work, h)
 	})
-	var sendErr *fuchsiaspoke.SendError
-	if err != nil && (!errors.As(err, &sendErr) || !sendErr.NotSent) {
+	if err != nil && !notSent(err) {
 		t.sends++
 	}
 	return answer, err
 }
+
+// notSent reports whether surely nothing reached the replica.
+func notSent(err error) bool {
+	var sendErr *fuchsiaspoke.SendError
+	return errors.As(err, &sendErr) && sendErr.NotSent
+}
--- a/zone/ranker/ranker.go
+++ b/zone/ranker/ranker.go
@@ -13,23 +13,29 @@
 // Ranker ranks VMs by highest random weight (Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998).
 type Ranker struct{}
 
-type weighted struct {
-	vm     fuchsiaspoke.VM
+type weighted[T any] struct {
+	item   T
+	id     string
 	weight uint64
 }
 
 // Rank returns the VMs in the order of their weight for the key, whatever order they came in.
 func (Ranker) Rank(key string, vms []fuchsiaspoke.VM) []fuchsiaspoke.VM {
-	all := make([]weighted, 0, len(vms))
-	for _, vm := range vms {
-		all = append(all, weighted{vm, Weight(key, vm.ID)})
+	return Sort(key, vms, func(vm fuchsiaspoke.VM) string { return vm.ID })
+}
+
+// Sort returns the items in the order of their weight for the key, whatever order they came in.
+func Sort[T any](key string, items []T, id func(T) string) []T {
+	all := make([]weighted[T], 0, len(items))
+	for _, item := range items {
+		all = append(all, weighted[T]{item, id(item), Weight(key, id(item))})
 	}
-	slices.SortStableFunc(all, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.vm.ID, b.vm.ID))
+	slices.SortStableFunc(all, func(a, b weighted[T]) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
 	})
-	ranked := make([]fuchsiaspoke.VM, 0, len(all))
+	ranked := make([]T, 0, len(all))
 	for _, w := range all {
-		ranked = append(ranked, w.vm)
+		ranked = append(ranked, w.item)
 	}
 	return ranked
 }
