--- a/upstream/controller/controller.go
+++ b/upstream/controller/controller.go
@@ -65,10 +65,10 @@
 	initialized        bool
 	// stateKnown reports that the engine's adapter slots and order count are known; otherwise the next pass queries the engine.
 	stateKnown bool
-	// orderCount is the engine's last reported order count, plus the adapter orders of this VM that it accepted since; repeated
-	// orders and loads of the base model are not added.
+	// orderCount is the engine's last reported order count, plus the orders of this VM that it accepted since; repeated adapter
+	// orders are not added.
 	orderCount int64
-	// unconfirmedOrders counts the adapter orders since the last report that were not answered, so that the engine may have
+	// unconfirmedOrders counts the orders since the last report that were not answered, so that the engine may have
 	// accepted them.
 	unconfirmedOrders int64
 	// lastOrderTime is the time of the last order sent, also a repeated one; 0 if none was.
--- a/upstream/controller/report.go
+++ b/upstream/controller/report.go
@@ -76,8 +76,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.backoffUntil = c.Clock() + modelLoadPollInterval
-	if result == fuchsiaspoke.OrderDone {
+	switch result {
+	case fuchsiaspoke.OrderDone:
 		c.backoffUntil = 0
 		c.stateKnown = false
+	case fuchsiaspoke.OrderAccepted:
+		c.orderCount++
+	case fuchsiaspoke.OrderUnknown:
+		c.unconfirmedOrders++
+	case fuchsiaspoke.OrderConflict, fuchsiaspoke.OrderRefused, fuchsiaspoke.OrderMisdirected:
 	}
 }
--- a/upstream/scheduler/scheduler_test.go
+++ b/upstream/scheduler/scheduler_test.go
@@ -256,3 +256,45 @@
 		t.Error("expired request is still queued")
 	}
 }
+
+// An adapter is in use when a newer version is announced, and the engine's state is then read again.
+func TestAdapterInUseIsNotReloadedAtOnceAfterReport(t *testing.T) {
+	s := &scheduler.Scheduler{Limits: engineLimits()}
+	mustEnqueue(t, s, 0, newRequest("r", "a", 100, 0, time.Second, 5*time.Second))
+	completeOrders(s, 0)
+	if started := s.Start(0); len(started) != 1 {
+		t.Fatalf("%d requests started, want 1", len(started))
+	}
+	now := 10 * time.Second
+	s.SetLatestVersion(now, "a", 2)
+	s.ApplyReport(now, fuchsiaspoke.ResidentModel{Adapters: []fuchsiaspoke.Adapter{{Name: "a", Version: 1}}})
+	s.SetLatestVersion(now, "a", 2)
+	if order, due := s.Next(now + 100*time.Millisecond); due {
+		t.Errorf("order %+v right after the report, though a request uses the adapter", order)
+	}
+	if _, due := s.Next(now + 2*time.Second); !due {
+		t.Error("no order for the newer version after 2 s")
+	}
+}
+
+// Newer versions of all resident adapters are announced at once.
+func TestUpgradesStayWithinConcurrentLoads(t *testing.T) {
+	const maxConcurrentLoads = 4
+	s := &scheduler.Scheduler{Limits: engineLimits()}
+	for n := range 8 {
+		s.RecordLoaded(0, fmt.Sprint("a", n), 1)
+		s.SetLatestVersion(time.Second, fmt.Sprint("a", n), 2)
+	}
+	loads := 0
+	for {
+		order, due := s.Next(time.Second)
+		if !due {
+			break
+		}
+		s.RecordOrder(time.Second, order)
+		loads++
+	}
+	if loads != maxConcurrentLoads {
+		t.Errorf("%d loads at once, an engine accepts %d", loads, maxConcurrentLoads)
+	}
+}
--- a/upstream/scheduler/slots.go
+++ b/upstream/scheduler/slots.go
@@ -23,18 +23,17 @@
 
 // Next returns the next order to send; false means that none is due.
 //
-// Loads of newer versions of resident adapters come first and are not limited by maxConcurrentLoads. Otherwise the order is for the
-// first queued request whose adapter occupies no slot: a load if a slot is free, or the unload of the least recently used idle
-// adapter.
+// Loads of newer versions of resident adapters come first. Otherwise the order is for the first queued request whose adapter
+// occupies no slot: a load if a slot is free, or the unload of the least recently used idle adapter.
 func (s *Scheduler) Next(now time.Duration) (AdapterOrder, bool) {
 	s.init()
 	s.sortQueue(now)
-	if order, due := s.nextUpgrade(now); due {
-		return order, true
-	}
 	if s.loadingCount() >= maxConcurrentLoads {
 		return AdapterOrder{}, false
 	}
+	if order, due := s.nextUpgrade(now); due {
+		return order, true
+	}
 	for _, q := range s.queue {
 		name := q.Demand.Adapter
 		if name == "" || s.slots[name] != nil {
@@ -155,7 +154,7 @@
 }
 
 // ApplyReport replaces the state of the adapter slots with an engine's report. Request counts, last uses and latest versions
-// of reported adapters are carried over.
+// of reported adapters are carried over, and since when a version is outdated.
 func (s *Scheduler) ApplyReport(now time.Duration, reported fuchsiaspoke.ResidentModel) {
 	s.init()
 	old := s.slots
@@ -176,6 +175,9 @@
 	if previous := old[name]; previous != nil {
 		s.slots[name].activeRequests, s.slots[name].lastUsedAt = previous.activeRequests, previous.lastUsedAt
 		s.slots[name].latestVersion = max(s.slots[name].latestVersion, previous.latestVersion)
+		if s.slots[name].latestVersion > s.slots[name].version {
+			s.slots[name].staleSince = previous.staleSince
+		}
 	}
 }
 
