--- a/contract/ratelimiter/ratelimiter.go
+++ b/contract/ratelimiter/ratelimiter.go
@@ -1,11 +1,13 @@
 // Package ratelimiter enforces the token rates of client accounts across all VMs of the fleet.
 //
-// Callers may be spread unevenly over VMs, and a VM that crashes loses its counts. Each VM therefore subtracts the tokens that
-// its peers report as admitted from its own buckets, a restarted VM adopts the bucket levels of its peers, and the VMs on one
-// side of a network partition admit only their share of each rate.
+// Callers may be spread unevenly over VMs, and a VM that crashes loses its counts. Each hub therefore subtracts the tokens that
+// other hubs report as admitted from its own buckets, a restarted hub adopts the bucket levels of the others, and the VMs on one
+// side of a network partition admit only their share of each rate. In a small fleet all VMs are hubs. In a large one, a leaf
+// reports what it admits to one hub, which counts it as its own, and adopts that hub's bucket levels.
 package ratelimiter
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -18,8 +20,10 @@
 	// peerRetention is the time without a heartbeat after which a peer counts as dead; longer than two of the windows over which
 	// the platform checks a rate.
 	peerRetention = 20 * time.Second
-	// smallFleetSize is the largest number of VMs at which the heartbeat interval does not grow with the fleet.
+	// smallFleetSize is the largest number of VMs at which the heartbeat interval does not grow with the fleet, and
+	// largeFleetSize the number from which on it no longer does.
 	smallFleetSize = 10
+	largeFleetSize = 20
 	// overageShare is the fraction of the allowed overage that one side of a partition uses beyond its share of the rate. The
 	// rest covers tokens that peers have admitted but not yet reported.
 	overageShare = 0.6
@@ -38,14 +42,23 @@
 	MinFleetSize int
 	// Overage is the fraction of a rate by which all VMs together may exceed it.
 	Overage float64
+	// FleetSize returns the number of VMs that this one knows of; nil stands for MinFleetSize. A leaf without a hub admits its part
+	// of each rate.
+	FleetSize func() int
 	// MayHavePeers means that other VMs may be running that this one does not know of yet. Until peerRetention after the start,
 	// MinFleetSize is then the least number of VMs assumed.
 	MayHavePeers bool
 
-	mu             sync.Mutex
-	accounts       map[string]*bucket
-	peers          map[string]*peer
+	mu       sync.Mutex
+	accounts map[string]*bucket
+	// peers are the other hubs, and leaves the VMs that report to this one.
+	peers  map[string]*peer
+	leaves map[string]*leaf
+	// admittedTokens are the tokens that this VM and its leaves admitted since the start of the epoch.
 	admittedTokens map[string]float64
+	epoch          uint64
+	// following is set while this VM is a leaf.
+	following *following
 }
 
 // bucket is the token bucket of one client account as this VM knows it.
@@ -56,6 +69,7 @@
 
 type peer struct {
 	incarnation    string
+	epoch          uint64
 	lastHeartbeat  time.Duration
 	admittedTokens map[string]float64
 }
@@ -92,18 +106,19 @@
 	}
 }
 
-// Snapshot returns the tokens that this VM admitted since it started, and the levels of its buckets, by client account.
-func (l *RateLimiter) Snapshot() (admittedTokens, bucketLevels map[string]float64) {
+// Snapshot returns the tokens that this VM and its leaves admitted since the start of the epoch, and the levels of its buckets, by
+// client account. Both are sent in the heartbeat of the given number.
+func (l *RateLimiter) Snapshot(heartbeatNumber uint64) (admittedTokens, bucketLevels map[string]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	admittedTokens = make(map[string]float64, len(l.admittedTokens))
+	admittedTokens = maps.Clone(l.admittedTokens)
 	bucketLevels = make(map[string]float64, len(l.accounts))
-	for name, n := range l.admittedTokens {
-		admittedTokens[name] = n
-	}
 	for name, b := range l.accounts {
 		bucketLevels[name] = b.level
 	}
+	if l.following != nil {
+		l.following.recordSent(heartbeatNumber, admittedTokens)
+	}
 	return admittedTokens, bucketLevels
 }
 
@@ -113,8 +128,8 @@
 	defer l.mu.Unlock()
 	l.initialize()
 	known := l.peers[state.VM.ID]
-	if known == nil || known.incarnation != state.Incarnation {
-		known = &peer{incarnation: state.Incarnation}
+	if known == nil || known.incarnation != state.Incarnation || known.epoch != state.CountEpoch {
+		known = &peer{incarnation: state.Incarnation, epoch: state.CountEpoch}
 		if state.Uptime >= now {
 			// The levels that a peer with a longer uptime reports already account for what it admitted so far.
 			known.admittedTokens = state.AdmittedTokens
@@ -135,8 +150,8 @@
 // partition.
 func (l *RateLimiter) addIndirectPeers(now time.Duration, reported []fuchsiaspoke.ReportedPeer) {
 	for _, p := range reported {
-		if l.peers[p.ID] == nil && p.ID != l.Self && p.Age <= peerRetention {
-			l.peers[p.ID] = &peer{lastHeartbeat: now - p.Age}
+		if p.Hub && l.peers[p.VM.ID] == nil && p.VM.ID != l.Self && p.Age <= peerRetention {
+			l.peers[p.VM.ID] = &peer{lastHeartbeat: now - p.Age}
 		}
 	}
 }
@@ -171,6 +186,9 @@
 
 // rateShare returns the fraction of each rate that the VMs on this side of a partition may admit together.
 func (l *RateLimiter) rateShare(now time.Duration) float64 {
+	if l.following != nil {
+		return l.following.rateShare(now, l.fleetSize())
+	}
 	live, unreachable := 1, 0
 	for id, p := range l.peers {
 		switch sinceHeartbeat := now - p.lastHeartbeat; {
@@ -189,16 +207,24 @@
 	return min(float64(live)/float64(total)*(1+overageShare*l.Overage), 1)
 }
 
-// scaledPeerTimeout returns peerTimeout times the number of peers per smallFleetSize, rounded down and at least 1, as heartbeats
+// scaledPeerTimeout returns peerTimeout times the number of hubs per smallFleetSize, rounded down and at least 1, as heartbeats
 // are less frequent in large fleets.
 func (l *RateLimiter) scaledPeerTimeout() time.Duration {
-	return peerTimeout * time.Duration(max(len(l.peers)/smallFleetSize, 1))
+	return peerTimeout * time.Duration(max(min(len(l.peers), largeFleetSize)/smallFleetSize, 1))
+}
+
+func (l *RateLimiter) fleetSize() int {
+	if l.FleetSize == nil {
+		return l.MinFleetSize
+	}
+	return max(l.FleetSize(), l.MinFleetSize)
 }
 
 func (l *RateLimiter) initialize() {
 	if l.accounts == nil {
 		l.accounts = make(map[string]*bucket)
 		l.peers = make(map[string]*peer)
+		l.leaves = make(map[string]*leaf)
 		l.admittedTokens = make(map[string]float64)
 	}
 }
--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -18,8 +18,9 @@
 	readIntervalRatio = 0.3
 	// minReadInterval bounds the rate of calls to the platform where the limit is very short.
 	minReadInterval = 300 * time.Millisecond
-	// watchWait is how long the platform may hold a watch open while there are no changes.
-	watchWait = time.Second
+	// maxWatchWait is the longest time for which the platform may hold a watch open while there are no changes. A watch also ends
+	// within half of the age at which other VMs would read the platform themselves.
+	maxWatchWait = time.Second
 	// responseTimeout is how long a call may take beyond the wait that it requests; a healthy platform responds within 4 ms.
 	responseTimeout = 700 * time.Millisecond
 	// slowResponseTimeout replaces responseTimeout for one in slowResponseEvery calls while calls fail, so that a platform
@@ -28,10 +29,11 @@
 	slowResponseEvery   = 4
 	// retryDelay is the delay before the next call after a failed one.
 	retryDelay = 250 * time.Millisecond
-	// staleRatio is the age of the published state, as a fraction of Watcher.PropagationLimit, above which a VM that is not
-	// a reader reads the platform itself. It leaves time within a limit of 2 s for one lost call that requests no wait and one
-	// successful call.
-	staleRatio = 0.4
+	// readReserve is the time that a VM which is not a reader needs to read the platform itself: for one lost call that requests no
+	// wait and one successful call. It does so once its state is so old that no more of Watcher.PropagationLimit is left.
+	readReserve = 1200 * time.Millisecond
+	// minStaleRatio is the least age, as a fraction of Watcher.PropagationLimit, at which it does so where the limit is short.
+	minStaleRatio = 0.4
 	// idlePollInterval is the interval at which a VM that is not reading checks whether it should.
 	idlePollInterval = 50 * time.Millisecond
 	// missingReplicaGrace is how long after an outage of the platform a full list may lack replicas that are still running, and
@@ -155,7 +157,11 @@
 // Stale reports whether the state is too old to wait for a relay by a peer, so that this VM must read the platform itself.
 func (w *Watcher) Stale() bool {
 	p := w.Published()
-	return p.Contract == nil || w.Clock()-p.ReadAt > time.Duration(staleRatio*float64(w.PropagationLimit))
+	return p.Contract == nil || w.Clock()-p.ReadAt > w.staleAge()
+}
+
+func (w *Watcher) staleAge() time.Duration {
+	return max(w.PropagationLimit-readReserve, time.Duration(minStaleRatio*float64(w.PropagationLimit)))
 }
 
 func (w *Watcher) readInterval() time.Duration {
@@ -165,7 +171,7 @@
 // readOnce makes one call to the platform. After a failure the call requests no wait, so that one that is lost in an outage times
 // out soon after the outage ends.
 func (w *Watcher) readOnce(ctx context.Context, relist bool, failures int) error {
-	wait, timeout := watchWait, responseTimeout
+	wait, timeout := min(maxWatchWait, w.staleAge()/2), responseTimeout
 	if failures > 0 {
 		wait = 0
 	}
--- a/link/acceptor/acceptor.go
+++ b/link/acceptor/acceptor.go
@@ -2,6 +2,7 @@
 package acceptor
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"sync"
@@ -15,8 +16,8 @@
 )
 
 const (
-	// idleTimeout is how long a connection may receive nothing before it is closed.
-	idleTimeout = 2 * time.Second
+	// defaultIdleTimeout is how long a connection may receive nothing before it is closed.
+	defaultIdleTimeout = 2 * time.Second
 	// maxStreams is the maximum number of concurrent calls on one connection.
 	maxStreams = 10_000
 	// noErrorCode is the QUIC application error code of connections that the acceptor closes.
@@ -29,6 +30,8 @@
 	TLS *tls.Config
 	// Clock timestamps sent frames and is advanced by the timestamps of received frames; nil disables both.
 	Clock clock
+	// IdleTimeout is how long a connection may receive nothing before it is closed; 0 is 2 s. The shorter one of both ends counts.
+	IdleTimeout time.Duration
 
 	handlers map[string]handler
 }
@@ -52,7 +55,7 @@
 
 // Serve accepts connections on the transport's socket until ctx is done, then waits for running calls.
 func (a *Acceptor) Serve(ctx context.Context, transport *quic.Transport) error {
-	cfg := &quic.Config{MaxIdleTimeout: idleTimeout, MaxIncomingStreams: maxStreams}
+	cfg := &quic.Config{MaxIdleTimeout: cmp.Or(a.IdleTimeout, defaultIdleTimeout), MaxIncomingStreams: maxStreams}
 	listener, err := transport.Listen(a.TLS, cfg)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", transport.Conn.LocalAddr())
--- a/link/dialer/dialer.go
+++ b/link/dialer/dialer.go
@@ -2,6 +2,7 @@
 package dialer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"io"
@@ -20,10 +21,10 @@
 const (
 	// handshakeTimeout bounds the QUIC handshake of a new connection.
 	handshakeTimeout = time.Second
-	// idleTimeout is how long a connection may receive nothing before it is closed.
-	idleTimeout = 2 * time.Second
-	// keepAliveInterval is the time between keep-alive packets on an idle connection.
-	keepAliveInterval = 500 * time.Millisecond
+	// defaultIdleTimeout is how long a connection may receive nothing before it is closed.
+	defaultIdleTimeout = 2 * time.Second
+	// keepAlives is the number of keep-alive packets within the idle timeout.
+	keepAlives = 4
 	// callCanceledCode is the QUIC stream error code of a call that was canceled on this side.
 	callCanceledCode = quic.StreamErrorCode(1)
 )
@@ -40,6 +41,9 @@
 	Transport *quic.Transport
 	// Clock timestamps sent frames and is advanced by the timestamps of received frames; nil disables both.
 	Clock clock
+	// IdleTimeout is how long a connection may receive nothing before it is closed; 0 is 2 s. A fleet whose VMs notice the end of
+	// another by its heartbeats uses a longer one and CloseVM, as each connection costs keep-alive packets.
+	IdleTimeout time.Duration
 
 	mu    sync.Mutex
 	conns map[string]*peerConn
@@ -98,6 +102,17 @@
 	return incarnation, err
 }
 
+// CloseVM closes the connection to a VM, if there is one; calls on it fail.
+func (d *Dialer) CloseVM(vm fuchsiaspoke.VM) {
+	peer := d.peerConn(vm)
+	peer.mu.Lock()
+	defer peer.mu.Unlock()
+	if peer.conn != nil {
+		_ = peer.conn.CloseWithError(0, "VM unreachable")
+		peer.conn = nil
+	}
+}
+
 // Close closes all connections.
 func (d *Dialer) Close() {
 	d.mu.Lock()
@@ -183,10 +198,11 @@
 func (d *Dialer) dial(ctx context.Context, vm fuchsiaspoke.VM) (*quic.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
+	idleTimeout := cmp.Or(d.IdleTimeout, defaultIdleTimeout)
 	cfg := &quic.Config{
 		HandshakeIdleTimeout: handshakeTimeout,
 		MaxIdleTimeout:       idleTimeout,
-		KeepAlivePeriod:      keepAliveInterval,
+		KeepAlivePeriod:      idleTimeout / keepAlives,
 	}
 	conn, err := d.connect(ctx, vm.LinkAddress, cfg)
 	if err != nil {
--- /dev/null
+++ b/upstream/finder/finder.go
@@ -0,0 +1,137 @@
+// Package finder finds the engines that can take a request earliest. A hub ranks them by what their owners report; a leaf, which
+// receives no such reports, asks a hub.
+package finder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/selector"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// MethodRank is the link method by which a leaf asks a hub to rank engines.
+	MethodRank = "engine.rank"
+	// rankTimeout bounds one call of MethodRank; a hub of the same availability zone answers within a few milliseconds.
+	rankTimeout = 250 * time.Millisecond
+	// maxRankedEngines is the number of engines in a reply, more than are asked for one request.
+	maxRankedEngines = 6
+)
+
+type dialer interface {
+	Call(ctx context.Context, vm fuchsiaspoke.VM, method string, request any, receive func(cbor.RawMessage) error) error
+}
+
+// Finder ranks engines. All fields must be set before the first call, except Hubs, which is nil on a VM that never asks.
+type Finder struct {
+	Published func() *fuchsiaspoke.PublishedState
+	Requester *requester.Requester
+	Tracker   *tracker.Tracker
+	Clock     func() time.Duration
+	Dialer    dialer
+	// Hubs returns the hubs to ask, the preferred one first, and none on a hub.
+	Hubs func() []fuchsiaspoke.VM
+	Log  func(event string, keysAndValues ...any)
+}
+
+// Find returns the service's ready engines that were not tried yet, shortest estimated wait first. A leaf gets the best few of them
+// from a hub, and ranks all of them by itself if no hub answers.
+func (f *Finder) Find(ctx context.Context, service string, d fuchsiaspoke.Demand, tried map[string]bool) []selector.Choice {
+	if f.Hubs != nil {
+		for _, hub := range f.Hubs() {
+			if choices, err := f.ask(ctx, hub, service, d, tried); err == nil {
+				return choices
+			}
+		}
+	}
+	return f.rank(service, d, func(id string) bool { return tried[id] }, func(string) bool { return false })
+}
+
+// rank ranks engines by the views that this VM has. Views that describe an earlier start of an engine are not used.
+func (f *Finder) rank(service string, d fuchsiaspoke.Demand, excluded, failing func(engine string) bool) []selector.Choice {
+	p := f.Published()
+	if p.Contract == nil || p.Contract.Services[service].Engine == nil {
+		return nil
+	}
+	now := f.Clock()
+	var candidates []selector.Candidate
+	for _, r := range p.Replicas {
+		if r.Service != service || r.State != fuchsiaspoke.ReplicaReady || excluded(r.ID) {
+			continue
+		}
+		c := selector.Candidate{Replica: r, Failing: f.Tracker.Failing(now, r.ID) || failing(r.ID)}
+		if view, _, known := f.Requester.View(r.ID); known && (view.Engine.StartedAtMs == r.StartedAtMs || r.StartedAtMs == 0) {
+			c.View = &view
+		}
+		candidates = append(candidates, c)
+	}
+	return selector.Selector{Slots: p.Contract.Services[service].Engine.AdapterSlots}.Select(d, candidates)
+}
+
+// ask has a hub rank the engines. Engines that this VM doesn't know as ready are left out.
+func (f *Finder) ask(
+	ctx context.Context, hub fuchsiaspoke.VM, service string, d fuchsiaspoke.Demand, tried map[string]bool,
+) ([]selector.Choice, error) {
+	ctx, cancel := context.WithTimeout(ctx, rankTimeout)
+	defer cancel()
+	p, now := f.Published(), f.Clock()
+	query := fuchsiaspoke.RankQuery{Service: service, Demand: d}
+	ready := make(map[string]fuchsiaspoke.Replica)
+	for _, r := range p.Replicas {
+		switch {
+		case r.Service != service || r.State != fuchsiaspoke.ReplicaReady:
+			continue
+		case tried[r.ID]:
+			query.Excluded = append(query.Excluded, r.ID)
+		case f.Tracker.Failing(now, r.ID):
+			query.Failing = append(query.Failing, r.ID)
+		}
+		ready[r.ID] = r
+	}
+	var reply fuchsiaspoke.RankReply
+	err := f.Dialer.Call(ctx, hub, MethodRank, query, func(raw cbor.RawMessage) error { return cbor.Unmarshal(raw, &reply) })
+	if err != nil {
+		f.Log("hub did not rank engines", "hub", hub.ID, "service", service, "error", err.Error())
+		return nil, err
+	}
+	choices := make([]selector.Choice, 0, len(reply.Engines))
+	for _, e := range reply.Engines {
+		r, known := ready[e.Engine]
+		if !known {
+			continue
+		}
+		if e.Owner.ID != "" {
+			f.Requester.LearnOwner(e.Engine, e.Owner)
+		}
+		choices = append(choices, selector.Choice{
+			Replica: r, EstimatedWait: e.EstimatedWait, Resident: e.Resident, Loading: e.Loading, Accepting: e.Accepting,
+		})
+	}
+	return choices, nil
+}
+
+// Serve handles MethodRank calls of leaves.
+func (f *Finder) Serve(_ context.Context, _ string, request frame.Frame, send func(any) error) error {
+	var q fuchsiaspoke.RankQuery
+	if err := cbor.Unmarshal(request.Body, &q); err != nil {
+		return errors.Wrap(err, "decode rank query")
+	}
+	choices := f.rank(q.Service, q.Demand,
+		func(id string) bool { return slices.Contains(q.Excluded, id) }, func(id string) bool { return slices.Contains(q.Failing, id) })
+	var reply fuchsiaspoke.RankReply
+	for _, c := range choices[:min(len(choices), maxRankedEngines)] {
+		owner, _ := f.Requester.Owner(c.Replica.ID)
+		reply.Engines = append(reply.Engines, fuchsiaspoke.RankedEngine{
+			Engine: c.Replica.ID, EstimatedWait: c.EstimatedWait, Resident: c.Resident, Loading: c.Loading, Accepting: c.Accepting,
+			Owner: owner,
+		})
+	}
+	return send(reply)
+}
--- a/upstream/requester/requester.go
+++ b/upstream/requester/requester.go
@@ -58,8 +58,18 @@
 	Dialer dialer
 	Clock  func() time.Duration
 
+	// Self is this VM.
+	Self fuchsiaspoke.VM
+
 	mu          sync.Mutex
 	controllers map[string]*controller.Controller
+	// learnedOwners are the owners of engines as hubs told, by engine.
+	learnedOwners map[string]learnedOwner
+}
+
+type learnedOwner struct {
+	vm        fuchsiaspoke.VM
+	learnedAt time.Duration
 }
 
 // Admission is the right to send one request to an engine, until Release.
@@ -116,6 +126,34 @@
 	return r.controllers[engine]
 }
 
+// LearnOwner records the owner of an engine as a hub told it.
+func (r *Requester) LearnOwner(engine string, owner fuchsiaspoke.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.learnedOwners == nil {
+		r.learnedOwners = make(map[string]learnedOwner)
+	}
+	r.learnedOwners[engine] = learnedOwner{owner, r.Clock()}
+}
+
+// Owner returns the VM that owns the engine as far as known: this VM, or the one last told by a hub or by its own heartbeat.
+func (r *Requester) Owner(engine string) (fuchsiaspoke.VM, bool) {
+	if r.controller(engine) != nil {
+		return r.Self, true
+	}
+	r.mu.Lock()
+	learned, isLearned := r.learnedOwners[engine]
+	r.mu.Unlock()
+	_, claim, claimed := r.Peers.View(engine)
+	if isLearned && (!claimed || learned.learnedAt > claim.ReceivedAt) {
+		return learned.vm, true
+	}
+	if !claimed {
+		return fuchsiaspoke.VM{}, false
+	}
+	return r.Peers.VM(claim.VM)
+}
+
 // Request waits for admission. Its error is a *fuchsiaspoke.Refusal, a *WaitLimitError or ctx's error, or has ErrNoOwner among
 // its causes.
 func (r *Requester) Request(ctx context.Context, req fuchsiaspoke.AdmissionRequest) (*Admission, error) {
@@ -150,11 +188,7 @@
 			c.Progress(fuchsiaspoke.AdmissionProgress{ID: req.ID, Engine: req.Engine, NotHeld: notHeld})
 		}, nil
 	}
-	_, claim, known := r.Peers.View(req.Engine)
-	if !known {
-		return nil, ErrNoOwner
-	}
-	vm, known := r.Peers.VM(claim.VM)
+	vm, known := r.Owner(req.Engine)
 	if !known {
 		return nil, ErrNoOwner
 	}
--- a/vm.go
+++ b/vm.go
@@ -10,4 +10,6 @@
 	CallerAddress string `json:"caller_address" cbor:"3,keyasint"`
 	LinkAddress   string `json:"link_address" cbor:"4,keyasint"`
 	Leaving       bool   `json:"leaving,omitempty" cbor:"5,keyasint,omitempty"`
+	// Capacity is the processor time that the VM may use, in cores; 0 stands for 1.
+	Capacity float32 `json:"capacity,omitempty" cbor:"6,keyasint,omitempty"`
 }
--- a/vm/entry/engines.go
+++ b/vm/entry/engines.go
@@ -8,6 +8,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/controller"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/claimer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/membership"
 )
 
 const (
@@ -81,22 +82,20 @@
 
 // fleetView collects the input of the claimer: this VM's state, its peers, their claims and the engines.
 func (e *Entry) fleetView(now time.Duration, engines map[string]fuchsiaspoke.Replica) claimer.FleetView {
-	settleTime := e.membership.SettleTime()
+	role := e.exchanger.Role()
+	settledAt := role.HubSince + e.membership.SettleTime()
 	view := claimer.FleetView{
-		Self: e.VM.ID, Settled: now >= settleTime && e.Ready(), SettlesIn: max(settleTime-now, 0), Leaving: e.Leaving(), Claims: e.membership.Claims(),
-		Revision: e.watcher.Published().Revision, ExpectsPeers: e.hasOtherSeeds(),
+		Self: e.VM.ID, Settled: now >= settledAt && e.Ready(), SettlesIn: max(settledAt-now, 0), Leaf: !role.Hubs[e.VM.ID],
+		Leaving: e.Leaving(), Claims: e.membership.Claims(), ExpectsPeers: e.hasOtherSeeds(),
 		PeerTimeout: e.membership.PeerTimeout(),
 		WallClock:   time.Duration(time.Now().UnixNano()),
 	}
-	for _, p := range e.membership.Peers(now) {
-		view.Peers = append(view.Peers, claimer.Peer{
-			ID: p.State.VM.ID, LastHeartbeat: p.LastHeartbeat, Ready: p.State.Ready, Leaving: p.State.Draining,
-		})
+	reachable := make(map[string]bool)
+	for _, p := range e.membership.Reachable(now) {
+		reachable[p.VM.ID] = true
 	}
-	for _, indirect := range e.membership.IndirectPeers(now) {
-		if indirect.ID != e.VM.ID {
-			view.Peers = append(view.Peers, claimer.Peer{ID: indirect.ID, LastHeartbeat: indirect.LastHeartbeat, Indirect: true})
-		}
+	for _, p := range e.membership.Peers(now) {
+		view.Peers = append(view.Peers, claimerPeer(now, p, role.Hubs[p.VM.ID], reachable[p.VM.ID]))
 	}
 	for id := range engines {
 		view.Engines = append(view.Engines, id)
@@ -105,6 +104,23 @@
 	return view
 }
 
+// claimerPeer describes a peer to the claimer. Another hub is reachable only if its own heartbeats are received here, as it may
+// own engines; for a leaf a hub's report is enough.
+func claimerPeer(now time.Duration, p membership.Peer, isHub, reachable bool) claimer.Peer {
+	out := claimer.Peer{ID: p.VM.ID, LastHeartbeat: p.LastHeard, Ready: p.Ready && isHub, Leaving: p.Draining}
+	switch {
+	case isHub || p.Hub:
+		if !p.Heard {
+			out.LastHeartbeat, out.Indirect = p.LastHeartbeat, true
+		}
+	case reachable:
+		out.LastHeartbeat, out.Leaf = now, true
+	default:
+		out.LastHeartbeat, out.Leaf = p.LastHeartbeat, true
+	}
+	return out
+}
+
 // hasOtherSeeds reports whether the seed addresses include another VM.
 func (e *Entry) hasOtherSeeds() bool {
 	e.mu.Lock()
@@ -229,15 +245,21 @@
 	}
 }
 
-// logReachabilityChanges logs peers that became unreachable, and peers that are reachable again.
+// logReachabilityChanges logs peers that became unreachable, and closes the links to them, and peers that are reachable again.
 func (e *Entry) logReachabilityChanges(now time.Duration) {
-	peerTimeout := e.membership.PeerTimeout()
+	reachable := make(map[string]bool)
+	for _, p := range e.membership.Reachable(now) {
+		reachable[p.VM.ID] = true
+	}
 	for _, p := range e.membership.Peers(now) {
-		unreachable := now-p.LastHeartbeat > peerTimeout
-		if unreachable != e.peerUnreachable[p.State.VM.ID] {
-			e.peerUnreachable[p.State.VM.ID] = unreachable
-			e.Log("VM silence changed", "peer", p.State.VM.ID, "silent", unreachable,
-				"heard_ms_ago", (now - p.LastHeartbeat).Milliseconds())
+		id, unreachable := p.VM.ID, !reachable[p.VM.ID]
+		if unreachable == e.peerUnreachable[id] {
+			continue
+		}
+		e.peerUnreachable[id] = unreachable
+		e.Log("VM silence changed", "peer", id, "silent", unreachable, "heard_ms_ago", (now - p.LastHeartbeat).Milliseconds())
+		if unreachable {
+			e.background.Go(func() { e.dialer.CloseVM(p.VM) })
 		}
 	}
 }
--- a/vm/entry/engines_test.go
+++ b/vm/entry/engines_test.go
@@ -18,6 +18,7 @@
 	e.membership.Observe(now, fuchsiaspoke.VMState{
 		VM: fuchsiaspoke.VM{ID: "10.0.0.2", LinkAddress: "10.0.0.2:7601"}, Incarnation: "a", Ready: true, Uptime: 10 * time.Millisecond,
 	})
+	e.exchanger.UpdateRole(now, true, false)
 	view := e.fleetView(now, nil)
 	if len(view.Peers) != 1 || !view.Peers[0].Ready {
 		t.Fatalf("peers %+v, want one ready peer", view.Peers)
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/keyring"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/controller"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/finder"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
@@ -28,8 +29,10 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/sender"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/timer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/claimer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/exchanger"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/heartbeater"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/membership"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 )
@@ -41,6 +44,11 @@
 	addressTTL = time.Second
 	// addressTTLFactor is the multiple of addressTTL for which some callers cache addresses.
 	addressTTLFactor = 3
+	// linkIdleTimeout is how long a link may receive nothing before it is closed. Links to VMs whose heartbeats stop are closed
+	// without waiting for it.
+	linkIdleTimeout = 20 * time.Second
+	// maxCallerAddresses is the largest number of addresses that callers accept.
+	maxCallerAddresses = 64
 	// stopMargin is the time reserved between the end of running requests and the end of the grace period.
 	stopMargin = 600 * time.Millisecond
 )
@@ -83,9 +91,11 @@
 	watcher        *watcher.Watcher
 	rateLimiter    ratelimiter.RateLimiter
 	membership     membership.Membership
+	exchanger      exchanger.Exchanger
 	tracker        tracker.Tracker
 	transport      transport.Transport
 	requester      *requester.Requester
+	finder         *finder.Finder
 	sender         *sender.Sender
 	authorizer     *authorizer.Authorizer
 	retryLimiters  retryLimiters
@@ -120,8 +130,8 @@
 		return nil, err
 	}
 	hb := &heartbeater.Heartbeater{
-		Listen: e.HeartbeatAddress, Interval: e.membership.HeartbeatInterval, State: e.heartbeatState,
-		Targets: e.heartbeatTargets, OnHeartbeat: e.receiveHeartbeat, Log: e.Log,
+		Listen: e.HeartbeatAddress, Interval: e.membership.HeartbeatInterval, Compose: e.composeHeartbeats,
+		OnHeartbeat: e.receiveHeartbeat, Log: e.Log,
 	}
 	heartbeating, err := hb.Run(ctx)
 	if err != nil {
@@ -170,23 +180,29 @@
 	e.controllers = make(map[string]*ownedEngine)
 	e.peerUnreachable = make(map[string]bool)
 	e.claimer.Lease = e.Bounds.OwnershipGap
-	e.rateLimiter.Self = e.VM.ID
+	e.membership.Self = e.VM.ID
+	e.exchanger.Self, e.exchanger.Membership, e.exchanger.Address = e.VM, &e.membership, e.heartbeatAddress
+	e.rateLimiter.Self, e.rateLimiter.FleetSize = e.VM.ID, e.fleetSize
 	e.rateLimiter.Overage = e.Bounds.QuotaOverage
 	if e.hasOtherSeeds() {
 		e.rateLimiter.MinFleetSize = assumedFleetSize
 		e.rateLimiter.MayHavePeers = !e.FirstStart
 	}
-	e.dialer = &dialer.Dialer{TLS: e.tls}
+	e.dialer = &dialer.Dialer{TLS: e.tls, IdleTimeout: linkIdleTimeout}
 	e.watcher = &watcher.Watcher{
 		Platform: e.Platform.Publisher, Clock: e.timer.Now, PropagationLimit: e.Bounds.DrainLimit,
 		IsReader: e.isReader, Log: e.Log,
 	}
-	e.requester = &requester.Requester{Peers: &e.membership, Dialer: e.dialer, Clock: e.timer.Now}
+	e.requester = &requester.Requester{Peers: &e.membership, Dialer: e.dialer, Clock: e.timer.Now, Self: e.VM}
+	e.finder = &finder.Finder{
+		Published: e.watcher.Published, Requester: e.requester, Tracker: &e.tracker, Clock: e.timer.Now, Dialer: e.dialer,
+		Hubs: e.hubsToAsk, Log: e.Log,
+	}
 	e.retryLimiters = retryLimiters{ratio: e.Bounds.RetryRatio, slack: e.Bounds.RetrySlack, vmCount: e.fleetSize}
 	e.authorizer = &authorizer.Authorizer{Published: e.watcher.Published, RateLimiter: &e.rateLimiter, Clock: e.timer.Now}
 	e.sender = &sender.Sender{
 		Published: e.watcher.Published, Transport: &e.transport, Protocol: e.Platform.Replicas, Requester: e.requester,
-		Tracker: &e.tracker, RetryBudget: &e.retryLimiters, Clock: e.timer.Now, Log: e.Log, Observe: e.Observe,
+		Finder: e.finder, Tracker: &e.tracker, RetryBudget: &e.retryLimiters, Clock: e.timer.Now, Log: e.Log, Observe: e.Observe,
 		TimeUntilOwned: e.timeUntilOwned,
 	}
 	return nil
@@ -208,10 +224,11 @@
 }
 
 func (e *Entry) newAcceptor() *acceptor.Acceptor {
-	a := &acceptor.Acceptor{TLS: e.tls}
+	a := &acceptor.Acceptor{TLS: e.tls, IdleTimeout: linkIdleTimeout}
 	a.Handle(requester.MethodRequest, e.requester.Serve)
 	a.Handle(requester.MethodProgress, e.requester.ServeProgress)
 	a.Handle(methodPublished, e.servePublished)
+	a.Handle(finder.MethodRank, e.finder.Serve)
 	return a
 }
 
@@ -269,12 +286,20 @@
 		add(e.VM)
 	}
 	for _, p := range e.membership.Reachable(e.timer.Now()) {
-		if p.State.Ready {
-			add(p.State.VM)
+		if p.Ready {
+			add(p.VM)
 		}
 	}
 	if len(sameZone) > 1 {
-		return sameZone, addressTTL
+		return e.selectAddresses(sameZone), addressTTL
+	}
+	return e.selectAddresses(all), addressTTL
+}
+
+// selectAddresses returns at most maxCallerAddresses of the addresses; each VM selects others, so that all are used.
+func (e *Entry) selectAddresses(all []string) []string {
+	if len(all) <= maxCallerAddresses {
+		return all
 	}
-	return all, addressTTL
+	return ranker.RankBy(e.VM.ID, all, func(a string) string { return a })[:maxCallerAddresses]
 }
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/retrylimiter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/exchanger"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -22,9 +24,8 @@
 	pullTimeout = 250 * time.Millisecond
 	// minReaders is how many VMs of a small fleet read the platform on behalf of all; one of them may fail or be refused.
 	minReaders = 2
-	// vmsPerReader is the number of ready VMs for each further reader, so that every VM receives a reader's heartbeat within a
-	// fraction of the heartbeat interval.
-	vmsPerReader = 20
+	// hubsPerReader is the number of ready hubs for each further reader.
+	hubsPerReader = 20
 	// readerRankingKey is the key by which VMs are ranked as readers; it must be the same on all VMs.
 	readerRankingKey = "read the platform"
 	// usedBoundsShare is the part of the platform's retry bounds that the VMs use together.
@@ -33,35 +34,54 @@
 	assumedFleetSize = 8
 )
 
-// heartbeatState returns the state that this VM sends in its next heartbeat.
-func (e *Entry) heartbeatState() fuchsiaspoke.VMState {
+// composeHeartbeats returns the heartbeats to send now.
+func (e *Entry) composeHeartbeats() []exchanger.Batch {
 	now := e.timer.Now()
+	before := e.exchanger.Role()
+	role := e.exchanger.UpdateRole(now, e.Ready(), e.ownsEngines())
+	if role.CountEpoch != before.CountEpoch {
+		e.Log("role changed", "hub", role.Hub, "leaf_of", strings.Join(role.LeafOf, ","), "hubs", len(role.Hubs))
+	}
+	e.rateLimiter.StartEpoch(role.CountEpoch, !role.Hub)
+	for _, p := range e.membership.Reachable(now) {
+		if !p.Hub {
+			e.rateLimiter.ForgetHub(p.VM.ID)
+		}
+	}
+	if p := e.watcher.Published(); p.Contract != nil {
+		e.rateLimiter.Prepare(now, p.Contract.Accounts)
+	}
+	e.mu.Lock()
+	seeds := slices.Clone(e.SeedAddresses)
+	e.mu.Unlock()
+	return e.exchanger.Compose(now, e.heartbeatState(now), seeds)
+}
+
+// ownsEngines reports whether this VM owns any engine.
+func (e *Entry) ownsEngines() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.controllers) > 0
+}
+
+// heartbeatState returns this VM's state for its next heartbeat.
+func (e *Entry) heartbeatState(now time.Duration) fuchsiaspoke.VMState {
 	p := e.watcher.Published()
-	admittedTokens, bucketLevels := e.rateLimiter.Snapshot()
+	number := e.heartbeatCount.Add(1)
+	acks, rateShare := e.rateLimiter.Acks(now)
+	admittedTokens, bucketLevels := e.rateLimiter.Snapshot(number)
 	s := fuchsiaspoke.VMState{
-		VM: e.VM, Incarnation: e.incarnation, HeartbeatNumber: e.heartbeatCount.Add(1), Uptime: now, Ready: e.Ready(),
+		VM: e.VM, Incarnation: e.incarnation, HeartbeatNumber: number, Uptime: now, Ready: e.Ready(),
 		Draining:       e.Leaving(),
-		AdmittedTokens: admittedTokens, BucketLevels: bucketLevels, Revision: p.Revision, ReadAge: now - p.ReadAt,
-		Engines: e.requester.Views(),
+		AdmittedTokens: admittedTokens, BucketLevels: bucketLevels, Acks: acks, RateShare: rateShare,
+		Revision: p.Revision, ReadAge: now - p.ReadAt, Engines: e.requester.Views(),
 	}
 	if p.Contract != nil {
 		s.ContractVersion = p.Contract.Version
 	}
-	s.Peers = e.reportedPeers(now, s.HeartbeatNumber)
 	return s
 }
 
-// reportedPeers returns the VMs to name in a heartbeat, since others may not know of them.
-func (e *Entry) reportedPeers(now time.Duration, heartbeat uint64) []fuchsiaspoke.ReportedPeer {
-	var out []fuchsiaspoke.ReportedPeer
-	for _, peer := range e.membership.PeersToReport(now, heartbeat) {
-		out = append(out, fuchsiaspoke.ReportedPeer{
-			ID: peer.State.VM.ID, HeartbeatAddress: e.heartbeatAddress(peer.State.VM), Age: now - peer.LastHeartbeat,
-		})
-	}
-	return out
-}
-
 // heartbeatAddress returns where a VM receives heartbeats. All VMs use the same port.
 func (e *Entry) heartbeatAddress(vm fuchsiaspoke.VM) string {
 	host, _, err := net.SplitHostPort(vm.LinkAddress)
@@ -75,23 +95,6 @@
 	return net.JoinHostPort(host, port)
 }
 
-// heartbeatTargets returns the addresses to send heartbeats to: peers, indirect peers and the seeds.
-func (e *Entry) heartbeatTargets() []string {
-	e.mu.Lock()
-	all := slices.Clone(e.SeedAddresses)
-	e.mu.Unlock()
-	now := e.timer.Now()
-	for _, peer := range e.membership.Peers(now) {
-		all = append(all, e.heartbeatAddress(peer.State.VM))
-	}
-	for _, indirect := range e.membership.IndirectPeers(now) {
-		all = append(all, indirect.HeartbeatAddress)
-	}
-	slices.Sort(all)
-	all = slices.Compact(all)
-	return slices.DeleteFunc(all, func(a string) bool { return a == "" || a == e.HeartbeatAddress })
-}
-
 // receiveHeartbeat applies a heartbeat of another VM, and pulls that VM's published state if it is newer and this VM is not about
 // to read it from the platform itself.
 func (e *Entry) receiveHeartbeat(s fuchsiaspoke.VMState) {
@@ -103,7 +106,7 @@
 		e.Log("VM heard", "peer", s.VM.ID, "zone", string(s.VM.Zone), "incarnation", s.Incarnation,
 			"uptime_ms", s.Uptime.Milliseconds())
 	}
-	e.rateLimiter.Observe(now, s)
+	e.observeRates(now, s)
 	p := e.watcher.Published()
 	e.watcher.ConfirmRevision(s.Revision, s.ReadAge)
 	e.watcher.ObservePeerContract(s.ContractVersion)
@@ -118,19 +121,49 @@
 	}
 }
 
-// isReader reports whether this VM is one of those that read the platform on behalf of all.
+// observeRates passes what a heartbeat says of admitted tokens and bucket levels to the rate limiter: as that of another hub, of a
+// leaf that reports here, or of the hub to which this leaf reports.
+func (e *Entry) observeRates(now time.Duration, s fuchsiaspoke.VMState) {
+	role := e.exchanger.Role()
+	switch {
+	case s.Continuation:
+	case !s.Hub && s.WantsAnswer:
+		e.rateLimiter.ObserveLeaf(now, s)
+	case s.Hub && s.WantsAnswer && role.Hub:
+		e.rateLimiter.Observe(now, s)
+	case s.Hub && !s.WantsAnswer && s.VM.ID == role.Upstream():
+		e.rateLimiter.Adopt(now, s)
+	}
+}
+
+// isReader reports whether this VM is one of the hubs that read the platform on behalf of all.
 func (e *Entry) isReader() bool {
-	ownWeight, rankedHigher, readyVMs := ranker.Weight(readerRankingKey, e.VM.ID), 0, 1
+	role := e.exchanger.Role()
+	if !role.Hub {
+		return false
+	}
+	ownWeight, rankedHigher, readyHubs := ranker.Weight(readerRankingKey, e.VM.ID), 0, 1
 	for _, p := range e.membership.Reachable(e.timer.Now()) {
-		if !p.State.Ready {
+		if !p.Ready || !role.Hubs[p.VM.ID] {
 			continue
 		}
-		readyVMs++
-		if ranker.Weight(readerRankingKey, p.State.VM.ID) > ownWeight {
+		readyHubs++
+		if ranker.Weight(readerRankingKey, p.VM.ID) > ownWeight {
 			rankedHigher++
 		}
 	}
-	return rankedHigher < minReaders+readyVMs/vmsPerReader
+	return rankedHigher < minReaders+readyHubs/hubsPerReader
+}
+
+// hubsToAsk returns the hubs that rank engines for this VM; none on a hub.
+func (e *Entry) hubsToAsk() []fuchsiaspoke.VM {
+	var out []fuchsiaspoke.VM
+	for _, id := range e.exchanger.Role().LeafOf {
+		if vm, known := e.membership.VM(id); known {
+			out = append(out, vm)
+		}
+	}
+	return out
 }
 
 // pullPublished reads the published state from another VM, with the contract if withContract is set. It keeps VMs up to date
@@ -178,8 +211,7 @@
 
 // fleetSize returns the number of VMs that this one knows of, itself included, or assumedFleetSize if it knows no other.
 func (e *Entry) fleetSize() int {
-	now := e.timer.Now()
-	n := len(e.membership.Peers(now)) + len(e.membership.IndirectPeers(now)) + 1
+	n := len(e.membership.Peers(e.timer.Now())) + 1
 	if n == 1 {
 		return assumedFleetSize
 	}
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -46,7 +46,7 @@
 		}
 		t.markTried(replica.ID)
 		if !outcome.notSent && !t.takeRetry(outcome.notRun) {
-			return t.interruptedIfStarted(relay, t.resultAfterLastAttempt(ctx, outcome))
+			return t.resultAfterLastAttempt(ctx, relay, outcome)
 		}
 	}
 	return t.interruptedIfStarted(relay, t.refuse(http.StatusServiceUnavailable, "maximum number of engine attempts reached"))
@@ -61,18 +61,21 @@
 	return err
 }
 
-// resultAfterLastAttempt returns the result of a request whose last attempt failed: that of refuse if the engine did not run the
-// attempt, or else that of finalResponse, which writes the engine's response if there is one and otherwise returns a refusal with
-// 502, or 504 after the deadline.
-func (t *requestTask) resultAfterLastAttempt(ctx context.Context, o outcome) error {
-	if o.notRun {
-		return t.refuse(o.status, "engine did not accept the request")
-	}
-	t.outcomeUnknown = true
+// resultAfterLastAttempt returns the result of a request whose last attempt failed: ErrResponseInterrupted if its stream has started,
+// that of refuse if the engine did not run the attempt, or else that of finalResponse, which writes the engine's response if there is
+// one and otherwise returns a refusal with 502, or 504 after the deadline.
+func (t *requestTask) resultAfterLastAttempt(ctx context.Context, relay *streamRelay, o outcome) error {
 	reason := "engine failed"
 	if o.err != nil {
 		reason = o.err.Error()
 	}
+	if relay.headSent {
+		return t.interruptedIfStarted(relay, errors.New(reason))
+	}
+	if o.notRun {
+		return t.refuse(o.status, "engine did not accept the request")
+	}
+	t.outcomeUnknown = true
 	return t.finalResponse(ctx, o.reply, reason)
 }
 
@@ -84,7 +87,7 @@
 	var lastDeclined selector.Choice
 	declinedWait := time.Duration(0)
 	requested, anyOwned := 0, false
-	choices := t.rankEngines()
+	choices := t.Finder.Find(ctx, t.request.Service, t.request.Demand, t.triedReplicas)
 	for i, choice := range choices {
 		if requested >= maxAdmissionRequests || ctx.Err() != nil {
 			break
@@ -195,23 +198,6 @@
 	}
 }
 
-// rankEngines returns the ready engines that were not tried yet, shortest predicted wait first. Views that describe an earlier
-// start of an engine are not used.
-func (t *requestTask) rankEngines() []selector.Choice {
-	contract := t.Published().Contract
-	limits := contract.Services[t.request.Service].Engine
-	now := t.Clock()
-	var candidates []selector.Candidate
-	for _, r := range t.readyReplicas(t.request.Service, t.triedReplicas) {
-		c := selector.Candidate{Replica: r, Failing: t.Tracker.Failing(now, r.ID)}
-		if view, _, known := t.Requester.View(r.ID); known && (view.Engine.StartedAtMs == r.StartedAtMs || r.StartedAtMs == 0) {
-			c.View = &view
-		}
-		candidates = append(candidates, c)
-	}
-	return selector.Selector{Slots: limits.AdapterSlots}.Select(t.request.Demand, candidates)
-}
-
 // outcome is the result of one attempt at one engine.
 type outcome struct {
 	// done means that the response is complete or that the caller disconnected.
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -14,6 +14,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/selector"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
 	"github.com/pkg/errors"
@@ -49,6 +50,11 @@
 	InterpretHead(req fuchsiaspoke.AdmittedRequest, status int, h http.Header) fuchsiaspoke.ResponseInfo
 }
 
+type engineFinder interface {
+	// Find returns the service's ready engines that were not tried yet, shortest estimated wait first.
+	Find(ctx context.Context, service string, d fuchsiaspoke.Demand, tried map[string]bool) []selector.Choice
+}
+
 type retryBudget interface {
 	Add(service string)
 	Take(service string) bool
@@ -68,6 +74,7 @@
 	Transport   *transport.Transport
 	Protocol    protocol
 	Requester   *requester.Requester
+	Finder      engineFinder
 	Tracker     *tracker.Tracker
 	RetryBudget retryBudget
 	Clock       func() time.Duration
--- a/vm/sender/sender_test.go
+++ b/vm/sender/sender_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/finder"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
@@ -36,6 +37,11 @@
 }
 func (unusedWriter) Body([]byte) error { return nil }
 
+// newFinder returns a finder that ranks engines by what the sender knows.
+func newFinder(s *sender.Sender) *finder.Finder {
+	return &finder.Finder{Published: s.Published, Requester: s.Requester, Tracker: s.Tracker, Clock: s.Clock, Log: s.Log}
+}
+
 // After a restart of all VMs no engine has an owner for some seconds. A caller that retries before engines have owners is
 // refused again, and does not retry a second time.
 func TestRetryAfterCoversTimeUntilEnginesAreOwned(t *testing.T) {
@@ -53,6 +59,7 @@
 		Tracker:   &tracker.Tracker{}, RetryBudget: unlimitedBudget{}, Clock: clock, Log: func(string, ...any) {},
 		TimeUntilOwned: func() time.Duration { return ownedIn },
 	}
+	s.Finder = newFinder(s)
 	req := fuchsiaspoke.AdmittedRequest{
 		ID: "r", Service: "texts", Deadline: 9 * time.Second, Route: fuchsiaspoke.ServiceRoute{Timeout: 8 * time.Second, MaxAttempts: 2},
 		Demand: fuchsiaspoke.Demand{Model: "m", Adapter: "a", PromptTokens: 100},
@@ -107,6 +114,7 @@
 		Log:            func(string, ...any) {},
 		TimeUntilOwned: func() time.Duration { return 0 },
 	}
+	s.Finder = newFinder(s)
 	req := fuchsiaspoke.AdmittedRequest{
 		ID: "r", Service: "texts", Deadline: 9 * time.Second, Route: fuchsiaspoke.ServiceRoute{Timeout: 8 * time.Second, MaxAttempts: 2},
 		Demand: fuchsiaspoke.Demand{Model: "m", Adapter: "a", PromptTokens: 100},
--- a/vm_state.go
+++ b/vm_state.go
@@ -20,13 +20,33 @@
 	// BucketLevels is the VM's estimate of the number of tokens in the account's bucket.
 	AdmittedTokens map[string]float64 `cbor:"8,keyasint,omitempty"`
 	BucketLevels   map[string]float64 `cbor:"9,keyasint,omitempty"`
-	// Peers are VMs from which this VM has received heartbeats: all of them for some time after a VM has joined, otherwise only
-	// those whose last heartbeat is older than half of the peer timeout. They may be split over several heartbeats.
+	// Peers are VMs of which the sender knows, a part of them in each heartbeat.
 	Peers []ReportedPeer `cbor:"10,keyasint,omitempty"`
 	// Revision is the newest platform revision known to the VM.
 	Revision int64 `cbor:"11,keyasint,omitempty"`
 	// ReadAge is the time since Revision was known to be the platform's newest.
 	ReadAge time.Duration `cbor:"13,keyasint,omitempty"`
+	// Hub reports that the VM exchanges heartbeats with all other hubs and may own engines. Any other VM is a leaf: it exchanges
+	// heartbeats with two hubs only.
+	Hub bool `cbor:"14,keyasint,omitempty"`
+	// CountEpoch is the number of times that AdmittedTokens was reset, as tokens reported to one hub must not be reported to the
+	// next one again.
+	CountEpoch uint64 `cbor:"15,keyasint,omitempty"`
+	// Acks holds, by the id of a leaf, the number of its last heartbeat whose AdmittedTokens are deducted from BucketLevels.
+	Acks map[string]uint64 `cbor:"16,keyasint,omitempty"`
+	// RateShare is the fraction of each account's rate that the VMs on the hub's side of a partition may admit; set for leaves.
+	RateShare float64 `cbor:"17,keyasint,omitempty"`
+	// WantsAnswer reports that the sender takes the receiver for a hub and waits for its heartbeats.
+	WantsAnswer bool `cbor:"18,keyasint,omitempty"`
+	// Continuation reports that this is a further datagram of a heartbeat, without AdmittedTokens, BucketLevels and Acks.
+	Continuation bool `cbor:"19,keyasint,omitempty"`
+}
+
+// AsContinuation returns the state for a further datagram of the same heartbeat.
+func (s VMState) AsContinuation() VMState {
+	s.Continuation = true
+	s.AdmittedTokens, s.BucketLevels, s.Acks = nil, nil, nil
+	return s
 }
 
 // EngineClaim is the last claim of another VM to own an engine, with its fencing token. ReceivedAt is the time of the last
@@ -40,11 +60,15 @@
 	Ended bool
 }
 
-// ReportedPeer is a VM from which the sender of a heartbeat has received heartbeats itself.
+// ReportedPeer is a VM as the sender of a heartbeat knows it.
 type ReportedPeer struct {
-	ID string `cbor:"1,keyasint"`
-	// HeartbeatAddress is the UDP address at which the VM receives heartbeats.
-	HeartbeatAddress string `cbor:"2,keyasint"`
-	// Age is the time since the sender last received a heartbeat from the VM.
-	Age time.Duration `cbor:"3,keyasint"`
+	VM          VM     `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint,omitempty"`
+	// Age is the time since a heartbeat of the VM was last received, by the sender or by a VM that reported it to the sender.
+	Age      time.Duration `cbor:"3,keyasint"`
+	Ready    bool          `cbor:"4,keyasint,omitempty"`
+	Draining bool          `cbor:"5,keyasint,omitempty"`
+	Hub      bool          `cbor:"6,keyasint,omitempty"`
+	// Silent reports that no VM that is known to the sender hears this one any more.
+	Silent bool `cbor:"7,keyasint,omitempty"`
 }
--- a/zone/claimer/claimer.go
+++ b/zone/claimer/claimer.go
@@ -11,8 +11,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
 )
@@ -32,13 +30,13 @@
 	// first order.
 	firstOrderTimeout = 900 * time.Millisecond
 	// turnDuration is the length of a VM's turn to claim an engine while a peer may be partitioned off. By the end of the turn, an
-	// ownership that began at its start has either ended unused or its first order shows in the engine's report.
-	turnDuration = firstOrderTimeout + reportLag
+	// ownership that began within its claim window has either ended unused or its first order shows in the engine's report.
+	turnDuration = claimWindow + firstOrderTimeout + reportLag
 	// maxTurns is the largest number of turns in a cycle. The VMs that rank highest for an engine have one turn each, and all
 	// others share the last one, so two sides of a partition use the same turn only if all VMs with a turn of their own are gone.
-	maxTurns = 6
+	maxTurns = 5
 	// claimWindow is the time from the start of its turn within which a VM may claim an engine.
-	claimWindow = 400 * time.Millisecond
+	claimWindow = 300 * time.Millisecond
 	// isolatedHoldOff is how long a VM owns no engine after its last peer became unreachable; longer than a process restart.
 	isolatedHoldOff = 8 * time.Second
 	// noPeersHoldOff replaces isolatedHoldOff where the settings name other VMs but neither a heartbeat nor a report of one has
@@ -53,8 +51,12 @@
 	// newEngineStableTime is how long the order count must be stable for an engine that never accepted an order, if no other VM
 	// has claimed it and no peer may be partitioned off. It is also the time between reads right after a change of the count.
 	newEngineStableTime = 400 * time.Millisecond
-	// fenceShift is the number of low bits of a fencing number that hold the owner's hash; the platform's revision is above them.
-	fenceShift = 16
+	// fenceUnitMs is the unit, in milliseconds, of an engine's start time in fencing tokens. As an engine accepts fewer orders than
+	// one in a unit on average, its order count never reaches the start time of its next incarnation.
+	fenceUnitMs = 50
+	// fenceAgeBits is the number of low bits of a fencing token that hold the engine's age in seconds, for owners that claim the
+	// engine at the same order count. Tokens stay below 2^53 until the year 2078, as JSON numbers require.
+	fenceAgeBits = 17
 )
 
 // Peer is another VM according to its last heartbeat.
@@ -68,6 +70,8 @@
 	Leaving bool
 	// Indirect peers are known only from other VMs' heartbeats; none of their own was received here.
 	Indirect bool
+	// Leaf peers do not claim engines. LastHeartbeat is that of the last report of a hub, or now while one hears the peer.
+	Leaf bool
 }
 
 // FleetView is the input of one decision: the fleet as this VM knows it.
@@ -79,6 +83,8 @@
 	SettlesIn time.Duration
 	// Leaving VMs are shutting down and own no engine.
 	Leaving bool
+	// Leaf VMs claim no engine.
+	Leaf bool
 	// ExpectsPeers means that the settings name other VMs.
 	ExpectsPeers bool
 	Peers        []Peer
@@ -86,8 +92,6 @@
 	Claims map[string]fuchsiaspoke.EngineClaim
 	// Engines are the ids of all published engines in the state ready.
 	Engines []string
-	// Revision is the platform's revision of the published configuration.
-	Revision int64
 	// PeerTimeout is the time without a heartbeat after which a peer counts as unreachable; 0 stands for one second.
 	PeerTimeout time.Duration
 	// WallClock is the wall-clock time since the Unix epoch. If it jumps, both sides of a partition may claim an engine in the
@@ -213,7 +217,7 @@
 
 // decideEngine releases an owned engine if a live peer claims it too, or if a VM may be partitioned off and this VM has sent no
 // order for the ownership's idleTimeout; an engine stays owned when another VM becomes preferred. An engine that is not owned is
-// passed to claimOrPoll if no live peer claims it and this VM is preferred; otherwise its observation is deleted.
+// passed to claimOrPoll if no live peer claims it and this VM is preferred and no leaf; otherwise its observation is deleted.
 func (c *Claimer) decideEngine(now time.Duration, view FleetView, engine string, partitioned bool, d *Decision) {
 	claim, claimed := view.Claims[engine]
 	claimedByLivePeer := claimed && !claim.Ended && now-claim.ReceivedAt <= view.peerTimeout() && !isPeerLeaving(view, claim.VM)
@@ -224,7 +228,7 @@
 	case own != nil && partitioned && now-own.lastOrder > own.idleTimeout():
 		c.release(engine, "no recent order while another VM may be partitioned off", d)
 	case own != nil:
-	case claimedByLivePeer || !c.isPreferred(now, view, engine):
+	case view.Leaf || claimedByLivePeer || !c.isPreferred(now, view, engine):
 		delete(c.observations, engine)
 	default:
 		c.claimOrPoll(now, view, engine, claim, claimed, partitioned, d)
@@ -249,7 +253,7 @@
 	}
 	if view.Settled && c.isStable(obs, claimed, partitioned) && now-obs.lastAnsweredPoll <= maxPollAge &&
 		(!partitioned || obs.lastAnsweredPoll >= c.turnStart(now, view, engine)) {
-		fence := max(view.Revision<<fenceShift|int64(vmHash(view.Self)), claim.Fence+1)
+		fence := max(newFence(obs, view.WallClock), claim.Fence+1)
 		c.owned[engine] = &ownership{fence: fence, lastOrder: now, confirmed: !partitioned}
 		delete(c.observations, engine)
 		d.Claim = append(d.Claim, engine)
@@ -319,7 +323,7 @@
 	ownWeight := ranker.Weight(engine, view.Self)
 	rank, vmCount := 0, 1
 	for _, p := range view.Peers {
-		if now-p.LastHeartbeat > maxPartitionDuration {
+		if p.Leaf || now-p.LastHeartbeat > maxPartitionDuration {
 			continue
 		}
 		vmCount++
@@ -359,7 +363,7 @@
 func (c *Claimer) isolated(now time.Duration, view FleetView) bool {
 	knowsPeer := false
 	for _, p := range view.Peers {
-		if !p.Indirect && now-p.LastHeartbeat <= view.peerTimeout() {
+		if !p.Indirect && !p.Leaf && now-p.LastHeartbeat <= view.peerTimeout() {
 			c.isolatedSince = 0
 			return false
 		}
@@ -392,8 +396,12 @@
 	return d
 }
 
-func vmHash(vm string) uint16 {
-	return uint16(xxhash.Sum64String(vm))
+// newFence returns a fencing token that is higher than those of earlier owners, also where no VM remembers them: it follows from
+// what the engine itself reports, its start time and order count, and from its age.
+func newFence(obs *observation, wallClock time.Duration) int64 {
+	const maxAge = 1<<fenceAgeBits - 1
+	age := wallClock.Milliseconds()/1000 - obs.startedAtMs/1000
+	return (obs.startedAtMs/fenceUnitMs+obs.orderCount)<<fenceAgeBits | min(max(age, 0), maxAge)
 }
 
 // Fresh reports whether the last tick is recent enough for the ownerships to be valid.
--- a/zone/heartbeater/heartbeater.go
+++ b/zone/heartbeater/heartbeater.go
@@ -6,9 +6,11 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/exchanger"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -16,6 +18,8 @@
 const (
 	// maxEnginesPerDatagram is the largest number of engines in one datagram, so that it fits a packet.
 	maxEnginesPerDatagram = 4
+	// maxPeersPerDatagram is the largest number of reported VMs in one datagram.
+	maxPeersPerDatagram = 12
 	// jitterRatio is the width of the random variation of the interval as a fraction of it, so that the VMs of a fleet don't send
 	// at the same time.
 	jitterRatio = 0.2
@@ -29,10 +33,8 @@
 	Listen string
 	// Interval returns the time until the next heartbeat.
 	Interval func() time.Duration
-	// State returns this VM's state with all its engines.
-	State func() fuchsiaspoke.VMState
-	// Targets returns the addresses, as IP:PORT, to which heartbeats are sent.
-	Targets func() []string
+	// Compose returns the heartbeats to send now, with the addresses, as IP:PORT, that receive each.
+	Compose func() []exchanger.Batch
 	// OnHeartbeat is called with each received heartbeat.
 	OnHeartbeat func(fuchsiaspoke.VMState)
 	Log         func(event string, keysAndValues ...any)
@@ -84,37 +86,49 @@
 }
 
 func (h *Heartbeater) sendHeartbeat(conn *net.UDPConn) {
-	state := h.State()
-	targets := h.Targets()
-	for _, datagram := range h.encode(state) {
-		for _, target := range targets {
-			to, err := netip.ParseAddrPort(target)
-			if err != nil {
-				continue
-			}
-			// Errors are ignored, as the next heartbeat carries the whole state again.
+	for _, batch := range h.Compose() {
+		for _, datagram := range h.encode(batch.State) {
+			sendToAll(conn, datagram, batch.Targets)
+		}
+	}
+}
+
+// sendToAll sends a datagram to each address. Errors are ignored, as the next heartbeat carries the whole state again.
+func sendToAll(conn *net.UDPConn, datagram []byte, targets []string) {
+	for _, target := range targets {
+		if to, err := netip.ParseAddrPort(target); err == nil {
 			_, _ = conn.WriteToUDPAddrPort(datagram, to)
 		}
 	}
 }
 
-// encode returns the state as datagrams, each with a part of its engines.
+// encode returns the state as datagrams, each with a part of its engines or of its reported VMs.
 func (h *Heartbeater) encode(s fuchsiaspoke.VMState) [][]byte {
-	engines := s.Engines
+	engines, peers := s.Engines, s.Peers
+	s.Peers = nil
 	var out [][]byte
-	for {
-		n := min(len(engines), maxEnginesPerDatagram)
-		s.Engines, engines = engines[:n], engines[n:]
+	add := func() {
 		raw, err := cbor.Marshal(s)
 		if err != nil {
 			h.Log("heartbeat not sent: state could not be encoded", "error", err.Error())
-			return out
+			return
 		}
 		out = append(out, raw)
-		if len(engines) == 0 {
-			return out
-		}
+		s = s.AsContinuation()
+	}
+	for part := range slices.Chunk(engines, maxEnginesPerDatagram) {
+		s.Engines = part
+		add()
+	}
+	s.Engines = nil
+	for part := range slices.Chunk(peers, maxPeersPerDatagram) {
+		s.Peers = part
+		add()
+	}
+	if len(out) == 0 {
+		add()
 	}
+	return out
 }
 
 func (h *Heartbeater) receiveLoop(conn *net.UDPConn) {
--- a/zone/membership/membership.go
+++ b/zone/membership/membership.go
@@ -1,4 +1,4 @@
-// Package membership records the state that other VMs report in heartbeats, and when each heartbeat was received.
+// Package membership records the VMs of the fleet: those whose heartbeats this VM receives, and those that they report.
 package membership
 
 import (
@@ -15,19 +15,30 @@
 	heartbeatInterval = 150 * time.Millisecond
 	// peerTimeout is the time without a heartbeat after which a VM of a small fleet counts as unreachable; six lost heartbeats.
 	peerTimeout = 1000 * time.Millisecond
-	// smallFleetSize is the largest number of VMs at which heartbeatInterval and peerTimeout apply. Beyond it both grow in
-	// proportion to the fleet, so that the number of heartbeats that a VM sends and receives per second stays the same.
+	// smallFleetSize is the largest number of VMs at which heartbeatInterval and peerTimeout apply. Both grow in proportion to the
+	// fleet up to largeFleetSize VMs. Larger fleets have leaves, which hardly add heartbeats.
 	smallFleetSize = 10
-	// settleIntervals is the number of heartbeat intervals for which a started VM collects claims. In a large fleet that is about
-	// as long as an engine's order count must be stable before another VM claims the engine.
-	settleIntervals = 3
-	// minSettleTime is the least time for which a started VM collects claims; eight heartbeats of a small fleet.
-	minSettleTime = 1200 * time.Millisecond
-	// maxReportedPeers is the largest number of peers in one heartbeat, so that it fits a packet; the next heartbeats name the
-	// rest.
-	maxReportedPeers = 12
-	// reportAllDuration is how long heartbeats name all peers after a VM has joined.
+	largeFleetSize = 20
+	// settleIntervals is the number of heartbeat intervals for which a started VM collects VMs and claims before it claims engines.
+	settleIntervals = 8
+	// relayCycles is how often heartbeats name each VM in turn until a report that it is alive is out of date. Hubs report at once
+	// that a VM became silent, so this matters only if they vanish with it.
+	relayCycles = 4
+	// reportSkew bounds the error of a reported age.
+	reportSkew = 200 * time.Millisecond
+	// changeReportDuration is how long heartbeats name a VM before all others after it has changed.
+	changeReportDuration = 2 * time.Second
+	// reportAllDuration is how long heartbeats name all VMs that this one hears after a VM has joined.
 	reportAllDuration = 5 * time.Second
+	// maxReportedPeers is the largest number of VMs in one heartbeat, so that it fits a packet; the next heartbeats name the rest.
+	// Heartbeats to leaves name formingFactor times as many while VMs join, and later only one in restInterval of them names VMs that
+	// did not change.
+	maxReportedPeers = 12
+	formingFactor    = 3
+	restInterval     = 4
+	// minContactDuration is how long a VM must have been heard without a gap for its silence to be reported. VMs that start exchange
+	// heartbeats with many others until they know the hubs, and then go on with those alone.
+	minContactDuration = 5 * time.Second
 	// claimEndHeartbeats is the number of heartbeats without an engine after which its claim ends. One is not enough, as a
 	// heartbeat with many engines consists of several datagrams, some of which may be lost.
 	claimEndHeartbeats = 2
@@ -37,24 +48,42 @@
 
 // Membership records the other VMs; its zero value is ready, and several goroutines may use it.
 type Membership struct {
+	// Self is the id of this VM, whose reports by others are ignored.
+	Self string
+
 	mu       sync.Mutex
 	peers    map[string]*peer
-	indirect map[string]IndirectPeer
 	claims   map[string]claim
 	lastJoin time.Duration
 }
 
-// IndirectPeer is a VM that other VMs report in their heartbeats. LastHeartbeat is when one of them last received a heartbeat
-// from it.
-type IndirectPeer struct {
-	ID               string
-	HeartbeatAddress string
-	LastHeartbeat    time.Duration
+// Peer is another VM as this one knows it.
+type Peer struct {
+	VM          fuchsiaspoke.VM
+	Incarnation string
+	Ready       bool
+	Draining    bool
+	Hub         bool
+	// LastHeartbeat is when its last heartbeat was received here, or by the VM that reported it if that was later.
+	LastHeartbeat time.Duration
+	// LastHeard is when its last heartbeat was received here; Heard means that there was one.
+	LastHeard time.Duration
+	Heard     bool
+	// WantsAnswer means that it takes this VM for a hub and waits for its heartbeats.
+	WantsAnswer bool
 }
 
 type peer struct {
-	state         fuchsiaspoke.VMState
-	lastHeartbeat time.Duration
+	Peer
+	heartbeatNumber uint64
+	// heardSince is when the first of its heartbeats without a gap was received.
+	heardSince time.Duration
+	// lastWanted is when its last heartbeat was received that wants an answer.
+	lastWanted time.Duration
+	// silent means that a VM which hears this one reported that it no longer does.
+	silent bool
+	// changedAt is when the VM last joined, became silent or reachable again, or changed its state.
+	changedAt time.Duration
 }
 
 // claim is the last ownership claim on an engine.
@@ -70,17 +99,81 @@
 func (m *Membership) Observe(now time.Duration, s fuchsiaspoke.VMState) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.initialize()
+	for _, r := range s.Peers {
+		m.mergeReport(now, r)
+	}
+	p := m.peers[s.VM.ID]
+	if p == nil {
+		p = &peer{changedAt: now}
+		m.peers[s.VM.ID] = p
+	}
+	heardBefore := p.Heard && p.Incarnation == s.Incarnation
+	if heardBefore && s.HeartbeatNumber < p.heartbeatNumber {
+		return false
+	}
+	m.recordClaims(now, s)
+	m.endClaims(s, heardBefore)
+	isNew := p.Incarnation != s.Incarnation
+	p.update(now, fuchsiaspoke.ReportedPeer{
+		VM: s.VM, Incarnation: s.Incarnation, Ready: s.Ready, Draining: s.Draining, Hub: s.Hub,
+	})
+	if isNew || !m.heard(now, p) {
+		p.heardSince = now
+	}
+	p.heartbeatNumber, p.LastHeard, p.Heard = s.HeartbeatNumber, now, true
+	if s.WantsAnswer {
+		p.lastWanted = now
+	}
+	p.WantsAnswer = s.WantsAnswer || now-p.lastWanted <= m.timeout()
+	if isNew {
+		m.lastJoin = now
+	}
+	return isNew
+}
+
+func (m *Membership) initialize() {
 	if m.peers == nil {
 		m.peers = make(map[string]*peer)
 		m.claims = make(map[string]claim)
-		m.indirect = make(map[string]IndirectPeer)
 	}
-	m.mergeIndirect(now, s.Peers)
-	known := m.peers[s.VM.ID]
-	sameIncarnation := known != nil && known.state.Incarnation == s.Incarnation
-	if sameIncarnation && s.HeartbeatNumber < known.state.HeartbeatNumber {
-		return false
+}
+
+// mergeReport takes over a report that is newer than what is known, and a report of silence that nothing newer contradicts. A high
+// age alone is no silence, as a VM is not named in every heartbeat.
+func (m *Membership) mergeReport(now time.Duration, r fuchsiaspoke.ReportedPeer) {
+	if r.VM.ID == m.Self {
+		return
 	}
+	lastHeartbeat := now - r.Age
+	p := m.peers[r.VM.ID]
+	if p == nil {
+		p = &peer{changedAt: now}
+		m.peers[r.VM.ID] = p
+		m.lastJoin = now
+		p.LastHeartbeat = lastHeartbeat - time.Nanosecond
+	}
+	if lastHeartbeat > p.LastHeartbeat {
+		if p.Incarnation != "" && r.Incarnation != p.Incarnation {
+			m.lastJoin = now
+		}
+		p.update(lastHeartbeat, r)
+	}
+	if r.Silent && lastHeartbeat+reportSkew >= p.LastHeartbeat && !p.silent {
+		p.silent, p.changedAt = true, now
+	}
+}
+
+// update takes over the VM's state as of the time at.
+func (p *peer) update(at time.Duration, r fuchsiaspoke.ReportedPeer) {
+	if p.silent || p.Incarnation != r.Incarnation || p.Ready != r.Ready || p.Draining != r.Draining || p.Hub != r.Hub {
+		p.changedAt = max(p.changedAt, at)
+	}
+	p.VM, p.Incarnation, p.Ready, p.Draining, p.Hub = r.VM, r.Incarnation, r.Ready, r.Draining, r.Hub
+	p.LastHeartbeat, p.silent = at, false
+}
+
+func (m *Membership) recordClaims(now time.Duration, s fuchsiaspoke.VMState) {
 	for _, view := range s.Engines {
 		m.claims[view.Engine.ID] = claim{
 			EngineClaim:         fuchsiaspoke.EngineClaim{Engine: view.Engine.ID, VM: s.VM.ID, Fence: view.Fence, ReceivedAt: now},
@@ -88,12 +181,6 @@
 			lastHeartbeatNumber: s.HeartbeatNumber,
 		}
 	}
-	m.endClaims(s, sameIncarnation)
-	m.peers[s.VM.ID] = &peer{state: s, lastHeartbeat: now}
-	if !sameIncarnation {
-		m.lastJoin = now
-	}
-	return !sameIncarnation
 }
 
 // endClaims marks as ended the claims that the VM no longer makes, or that an earlier incarnation of it made.
@@ -106,103 +193,81 @@
 	}
 }
 
-// mergeIndirect keeps the latest heartbeat time that other VMs report for each VM.
-func (m *Membership) mergeIndirect(now time.Duration, peers []fuchsiaspoke.ReportedPeer) {
-	for _, p := range peers {
-		lastHeartbeat := now - p.Age
-		if known, found := m.indirect[p.ID]; found && known.LastHeartbeat >= lastHeartbeat {
-			continue
-		}
-		m.indirect[p.ID] = IndirectPeer{ID: p.ID, HeartbeatAddress: p.HeartbeatAddress, LastHeartbeat: lastHeartbeat}
-	}
-}
-
-// IndirectPeers returns the VMs that other VMs report but that sent no heartbeat to this one, sorted by id.
-func (m *Membership) IndirectPeers(now time.Duration) []IndirectPeer {
+// HeartbeatInterval returns the time between two heartbeats at the present fleet size.
+func (m *Membership) HeartbeatInterval() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []IndirectPeer
-	for id, p := range m.indirect {
-		if now-p.LastHeartbeat > peerRetention {
-			delete(m.indirect, id)
-			continue
-		}
-		if m.peers[id] == nil {
-			out = append(out, p)
-		}
-	}
-	slices.SortFunc(out, func(a, b IndirectPeer) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	return m.interval()
 }
 
-// Peer is another VM with its last state; LastHeartbeat is when its last heartbeat was received.
-type Peer struct {
-	State         fuchsiaspoke.VMState
-	LastHeartbeat time.Duration
-}
-
-// LastJoin returns when the first heartbeat of the newest VM or incarnation was received.
-func (m *Membership) LastJoin() time.Duration {
+// PeerTimeout returns the time without a heartbeat after which a VM counts as unreachable at the present fleet size.
+func (m *Membership) PeerTimeout() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.lastJoin
+	return m.timeout()
 }
 
-// HeartbeatInterval returns the time between two heartbeats at the present fleet size.
-func (m *Membership) HeartbeatInterval() time.Duration {
+// SettleTime returns how long a started VM collects claims before it claims engines itself.
+func (m *Membership) SettleTime() time.Duration { return settleIntervals * m.HeartbeatInterval() }
+
+func (m *Membership) interval() time.Duration {
 	return time.Duration(float64(heartbeatInterval) * m.fleetScale())
 }
 
-// PeerTimeout returns the time without a heartbeat after which a VM counts as unreachable at the present fleet size.
-func (m *Membership) PeerTimeout() time.Duration {
+func (m *Membership) timeout() time.Duration {
 	return time.Duration(float64(peerTimeout) * m.fleetScale())
 }
 
-// SettleTime returns how long a started VM collects claims before it claims engines itself.
-func (m *Membership) SettleTime() time.Duration {
-	return max(minSettleTime, settleIntervals*m.HeartbeatInterval())
-}
-
 // fleetScale returns the factor by which heartbeatInterval and peerTimeout are multiplied at the present fleet size.
 func (m *Membership) fleetScale() float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return max(float64(len(m.peers)+1)/smallFleetSize, 1)
+	return float64(min(max(len(m.peers)+1, smallFleetSize), largeFleetSize)) / smallFleetSize
 }
 
 // Peers returns the VMs whose last heartbeat was received within peerRetention, sorted by id.
 func (m *Membership) Peers(now time.Duration) []Peer {
+	return m.list(now, func(*peer) bool { return true })
+}
+
+// Reachable returns the VMs that are heard, or reported by VMs that hear them, sorted by id.
+func (m *Membership) Reachable(now time.Duration) []Peer {
+	return m.list(now, func(p *peer) bool { return m.reachable(now, p) })
+}
+
+// Heard returns the VMs whose heartbeats are received here, sorted by id.
+func (m *Membership) Heard(now time.Duration) []Peer {
+	return m.list(now, func(p *peer) bool { return m.heard(now, p) })
+}
+
+// list returns the VMs that the function selects, sorted by id, and forgets those beyond peerRetention.
+func (m *Membership) list(now time.Duration, selects func(*peer) bool) []Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []Peer
+	out := make([]Peer, 0, len(m.peers))
 	for id, p := range m.peers {
-		if now-p.lastHeartbeat > peerRetention {
+		if now-p.LastHeartbeat > peerRetention {
 			delete(m.peers, id)
 			continue
 		}
-		out = append(out, Peer{State: p.state, LastHeartbeat: p.lastHeartbeat})
+		if selects(p) {
+			out = append(out, p.Peer)
+		}
 	}
-	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.State.VM.ID, b.State.VM.ID) })
+	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
 	return out
 }
 
-// PeersToReport returns the VMs that a heartbeat should name: all of them after a VM has joined, else those without a
-// heartbeat for half of PeerTimeout. Where they do not fit one heartbeat, its number selects a part of them.
-func (m *Membership) PeersToReport(now time.Duration, heartbeatNumber uint64) []Peer {
-	timeout, reportAll := m.PeerTimeout(), now-m.LastJoin() < reportAllDuration
-	reported := slices.DeleteFunc(m.Peers(now), func(p Peer) bool { return !reportAll && now-p.LastHeartbeat <= timeout/2 })
-	if len(reported) <= maxReportedPeers {
-		return reported
-	}
-	pages := uint64(len(reported)+maxReportedPeers-1) / maxReportedPeers
-	start := int(heartbeatNumber%pages) * maxReportedPeers
-	return reported[start:min(start+maxReportedPeers, len(reported))]
+func (m *Membership) heard(now time.Duration, p *peer) bool {
+	return p.Heard && now-p.LastHeard <= m.timeout()
 }
 
-// Reachable returns the reachable VMs, sorted by id.
-func (m *Membership) Reachable(now time.Duration) []Peer {
-	timeout := m.PeerTimeout()
-	return slices.DeleteFunc(m.Peers(now), func(p Peer) bool { return now-p.LastHeartbeat > timeout })
+func (m *Membership) reachable(now time.Duration, p *peer) bool {
+	return m.heard(now, p) || !p.silent && now-p.LastHeartbeat <= m.relayTimeout() && p.LastHeartbeat > p.LastHeard
+}
+
+// relayTimeout returns the age beyond which a report that a VM is alive is out of date.
+func (m *Membership) relayTimeout() time.Duration {
+	pages := len(m.peers)/maxReportedPeers + 1
+	return m.timeout() + relayCycles*restInterval*time.Duration(pages)*m.interval()
 }
 
 // Claims returns the last received claim of another VM by engine id.
@@ -224,7 +289,7 @@
 	return c.view, c.EngineClaim, known
 }
 
-// VM returns another VM as its last heartbeat described it, and whether it is known.
+// VM returns another VM as it was last described, and whether it is known.
 func (m *Membership) VM(id string) (fuchsiaspoke.VM, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -232,5 +297,5 @@
 	if p == nil {
 		return fuchsiaspoke.VM{}, false
 	}
-	return p.state.VM, true
+	return p.VM, true
 }
