--- a/upstream/driver/driver_test.go
+++ b/upstream/driver/driver_test.go
@@ -182,13 +182,15 @@
 	if _, err := fx.Claim(ctx, 1); err != nil {
 		t.Fatal(err)
 	}
+	loaded := make(chan error, 1)
 	time.AfterFunc(50*time.Millisecond, func() {
 		fx.engine.SetFault(fault.Fault{StallConnections: true, Restart: true})
-		if err := fx.Load(ctx, adapter, 1); err != nil {
-			t.Error(err)
-		}
+		loaded <- fx.Load(ctx, adapter, 1)
 	})
 	_, err := fx.generate(ctx, t, generation("once", 5), nil)
+	if err := <-loaded; err != nil {
+		t.Error(err)
+	}
 	checkRefusal(t, err, fuchsiaspoke.CodeUpstreamFailed, fuchsiaspoke.RunUnknown)
 	runs := 0
 	for _, r := range fx.engine.Records() {
