Compose heartbeats and ownership decisions from one pass over the VMs

Cause: at 195 VMs each decision on engines, ten a second, sorted and copied all VMs three times, and each heartbeat six times; on leaves too, which own no engine.

--- a/contract/ratelimiter/leaf.go
+++ b/contract/ratelimiter/leaf.go
@@ -71,11 +71,13 @@
 	}
 }
 
-// ForgetHub records that a VM is reachable and no hub, so that its missing reports are no sign of a partition.
-func (l *RateLimiter) ForgetHub(vm string) {
+// ForgetHubs records that VMs are reachable and no hubs, so that their missing reports are no sign of a partition.
+func (l *RateLimiter) ForgetHubs(vms []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.peers, vm)
+	for _, vm := range vms {
+		delete(l.peers, vm)
+	}
 }
 
 // ObserveLeaf counts the tokens that a leaf admitted since its last heartbeat as admitted by this VM.
--- a/contract/ratelimiter/leaf_test.go
+++ b/contract/ratelimiter/leaf_test.go
@@ -169,7 +169,7 @@
 		l.Observe(time.Second, fuchsiaspoke.VMState{VM: fuchsiaspoke.VM{ID: fmt.Sprint(n)}, Incarnation: "a", Hub: true})
 	}
 	for n := 5; n <= 80; n++ {
-		l.ForgetHub(fmt.Sprint(n))
+		l.ForgetHubs([]string{fmt.Sprint(n)})
 	}
 	refused, requests := 0, 0
 	for now := 2 * time.Second; now < 15*time.Second; now += 100 * time.Millisecond {
--- a/vm/entry/engines.go
+++ b/vm/entry/engines.go
@@ -40,8 +40,14 @@
 // updateOwnership claims and releases engines as the claimer decides.
 func (e *Entry) updateOwnership(ctx context.Context) {
 	now := e.timer.Now()
+	peers := e.membership.Peers(now)
+	e.logReachabilityChanges(now, peers)
+	if !e.exchanger.Role().Hub {
+		// A leaf owns no engine and claims none.
+		return
+	}
 	engines := e.readyEngines()
-	input := e.fleetView(now, engines)
+	input := e.fleetView(now, engines, peers)
 	e.mu.Lock()
 	decision := e.claimer.Tick(now, input)
 	e.mu.Unlock()
@@ -56,7 +62,6 @@
 		e.background.Go(func() { e.readOrderCount(ctx, engines[id]) })
 	}
 	e.replaceStaleControllers(ctx, engines)
-	e.logReachabilityChanges(now)
 }
 
 // timeUntilOwned estimates how long it takes until engines have owners if none has one: a VM that starts collects heartbeats for
@@ -81,7 +86,9 @@
 }
 
 // fleetView collects the input of the claimer: this VM's state, its peers, their claims and the engines.
-func (e *Entry) fleetView(now time.Duration, engines map[string]fuchsiaspoke.Replica) claimer.FleetView {
+func (e *Entry) fleetView(
+	now time.Duration, engines map[string]fuchsiaspoke.Replica, peers []membership.Peer,
+) claimer.FleetView {
 	role := e.exchanger.Role()
 	settledAt := role.HubSince + e.membership.SettleTime()
 	view := claimer.FleetView{
@@ -90,12 +97,8 @@
 		PeerTimeout: e.membership.PeerTimeout(),
 		WallClock:   time.Duration(time.Now().UnixNano()),
 	}
-	reachable := make(map[string]bool)
-	for _, p := range e.membership.Reachable(now) {
-		reachable[p.VM.ID] = true
-	}
-	for _, p := range e.membership.Peers(now) {
-		view.Peers = append(view.Peers, claimerPeer(now, p, role.Hubs[p.VM.ID], reachable[p.VM.ID]))
+	for _, p := range peers {
+		view.Peers = append(view.Peers, claimerPeer(now, p, role.Hubs[p.VM.ID]))
 	}
 	for id := range engines {
 		view.Engines = append(view.Engines, id)
@@ -106,14 +109,14 @@
 
 // claimerPeer describes a peer to the claimer. Another hub is reachable only if its own heartbeats are received here, as it may
 // own engines; for a leaf a hub's report is enough.
-func claimerPeer(now time.Duration, p membership.Peer, isHub, reachable bool) claimer.Peer {
+func claimerPeer(now time.Duration, p membership.Peer, isHub bool) claimer.Peer {
 	out := claimer.Peer{ID: p.VM.ID, LastHeartbeat: p.LastHeard, Ready: p.Ready && isHub, Leaving: p.Draining}
 	switch {
 	case isHub || p.Hub:
-		if !p.Heard {
+		if !p.EverHeard {
 			out.LastHeartbeat, out.Indirect = p.LastHeartbeat, true
 		}
-	case reachable:
+	case p.Reachable:
 		out.LastHeartbeat, out.Leaf = now, true
 	default:
 		out.LastHeartbeat, out.Leaf = p.LastHeartbeat, true
@@ -246,13 +249,9 @@
 }
 
 // logReachabilityChanges logs peers that became unreachable, and closes the links to them, and peers that are reachable again.
-func (e *Entry) logReachabilityChanges(now time.Duration) {
-	reachable := make(map[string]bool)
-	for _, p := range e.membership.Reachable(now) {
-		reachable[p.VM.ID] = true
-	}
-	for _, p := range e.membership.Peers(now) {
-		id, unreachable := p.VM.ID, !reachable[p.VM.ID]
+func (e *Entry) logReachabilityChanges(now time.Duration, peers []membership.Peer) {
+	for _, p := range peers {
+		id, unreachable := p.VM.ID, !p.Reachable
 		if unreachable == e.peerUnreachable[id] {
 			continue
 		}
--- a/vm/entry/engines_test.go
+++ b/vm/entry/engines_test.go
@@ -19,7 +19,7 @@
 		VM: fuchsiaspoke.VM{ID: "10.0.0.2", LinkAddress: "10.0.0.2:7601"}, Incarnation: "a", Ready: true, Uptime: 10 * time.Millisecond,
 	})
 	e.exchanger.UpdateRole(now, true, false)
-	view := e.fleetView(now, nil)
+	view := e.fleetView(now, nil, e.membership.Peers(now))
 	if len(view.Peers) != 1 || !view.Peers[0].Ready {
 		t.Fatalf("peers %+v, want one ready peer", view.Peers)
 	}
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -43,11 +43,7 @@
 		e.Log("role changed", "hub", role.Hub, "leaf_of", strings.Join(role.LeafOf, ","), "hubs", len(role.Hubs))
 	}
 	e.rateLimiter.StartEpoch(role.CountEpoch, !role.Hub)
-	for _, p := range e.membership.Reachable(now) {
-		if !p.Hub {
-			e.rateLimiter.ForgetHub(p.VM.ID)
-		}
-	}
+	e.rateLimiter.ForgetHubs(e.reachableLeaves(now))
 	if p := e.watcher.Published(); p.Contract != nil {
 		e.rateLimiter.Prepare(now, p.Contract.Accounts)
 	}
@@ -57,6 +53,17 @@
 	return e.exchanger.Compose(now, e.heartbeatState(now), seeds)
 }
 
+// reachableLeaves returns the ids of the reachable VMs that are no hubs.
+func (e *Entry) reachableLeaves(now time.Duration) []string {
+	var out []string
+	for _, p := range e.membership.Reachable(now) {
+		if !p.Hub {
+			out = append(out, p.VM.ID)
+		}
+	}
+	return out
+}
+
 // ownsEngines reports whether this VM owns any engine.
 func (e *Entry) ownsEngines() bool {
 	e.mu.Lock()
--- a/zone/exchanger/exchanger.go
+++ b/zone/exchanger/exchanger.go
@@ -64,15 +64,16 @@
 // UpdateRole computes this VM's role from the VMs that are reachable now. The caller must not modify its map.
 func (x *Exchanger) UpdateRole(now time.Duration, ready, ownsEngines bool) Role {
 	candidates := []planner.Candidate{{VM: x.Self, Ready: ready}}
-	for _, p := range x.Membership.Reachable(now) {
-		if !p.Draining {
+	peers := x.Membership.Peers(now)
+	for _, p := range peers {
+		if p.Reachable && !p.Draining {
 			candidates = append(candidates, planner.Candidate{VM: p.VM, Ready: p.Ready})
 		}
 	}
 	hubs := x.planner.Hubs(candidates)
 	next := Role{Hub: hubs[x.Self.ID] || ownsEngines, Hubs: hubs}
 	if !next.Hub {
-		next.LeafOf = x.heardFirst(now, x.planner.HubsOf(x.Self, candidates, hubs))
+		next.LeafOf = heardFirst(peers, x.planner.HubsOf(x.Self, candidates, hubs))
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -88,10 +89,10 @@
 }
 
 // heardFirst moves the hubs that answer before those that don't.
-func (x *Exchanger) heardFirst(now time.Duration, hubs []string) []string {
+func heardFirst(peers []membership.Peer, hubs []string) []string {
 	heard := make(map[string]bool)
-	for _, p := range x.Membership.Heard(now) {
-		heard[p.VM.ID] = true
+	for _, p := range peers {
+		heard[p.VM.ID] = p.Heard
 	}
 	slices.SortStableFunc(hubs, func(a, b string) int {
 		switch {
--- a/zone/membership/membership.go
+++ b/zone/membership/membership.go
@@ -2,7 +2,7 @@
 package membership
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -51,8 +51,10 @@
 	// Self is the id of this VM, whose reports by others are ignored.
 	Self string
 
-	mu       sync.Mutex
-	peers    map[string]*peer
+	mu    sync.Mutex
+	peers map[string]*peer
+	// ids are the keys of peers, sorted; nil if that changed.
+	ids      []string
 	claims   map[string]claim
 	lastJoin time.Duration
 }
@@ -66,9 +68,12 @@
 	Hub         bool
 	// LastHeartbeat is when its last heartbeat was received here, or by the VM that reported it if that was later.
 	LastHeartbeat time.Duration
-	// LastHeard is when its last heartbeat was received here; Heard means that there was one.
+	// LastHeard is when its last heartbeat was received here; EverHeard means that there was one.
 	LastHeard time.Duration
+	EverHeard bool
+	// Heard means that its heartbeats are received here, and Reachable that they are, or that VMs report which receive them.
 	Heard     bool
+	Reachable bool
 	// WantsAnswer means that it takes this VM for a hub and waits for its heartbeats.
 	WantsAnswer bool
 }
@@ -106,9 +111,9 @@
 	p := m.peers[s.VM.ID]
 	if p == nil {
 		p = &peer{changedAt: now}
-		m.peers[s.VM.ID] = p
+		m.peers[s.VM.ID], m.ids = p, nil
 	}
-	heardBefore := p.Heard && p.Incarnation == s.Incarnation
+	heardBefore := p.EverHeard && p.Incarnation == s.Incarnation
 	if heardBefore && s.HeartbeatNumber < p.heartbeatNumber {
 		return false
 	}
@@ -121,7 +126,7 @@
 	if isNew || !m.heard(now, p) {
 		p.heardSince = now
 	}
-	p.heartbeatNumber, p.LastHeard, p.Heard = s.HeartbeatNumber, now, true
+	p.heartbeatNumber, p.LastHeard, p.EverHeard = s.HeartbeatNumber, now, true
 	if s.WantsAnswer {
 		p.lastWanted = now
 	}
@@ -149,7 +154,7 @@
 	p := m.peers[r.VM.ID]
 	if p == nil {
 		p = &peer{changedAt: now}
-		m.peers[r.VM.ID] = p
+		m.peers[r.VM.ID], m.ids = p, nil
 		m.lastJoin = now
 		p.LastHeartbeat = lastHeartbeat - time.Nanosecond
 	}
@@ -223,41 +228,39 @@
 	return float64(min(max(len(m.peers)+1, smallFleetSize), largeFleetSize)) / smallFleetSize
 }
 
-// Peers returns the VMs whose last heartbeat was received within peerRetention, sorted by id.
+// Peers returns the VMs whose last heartbeat was received within peerRetention, sorted by id, and forgets the others.
 func (m *Membership) Peers(now time.Duration) []Peer {
-	return m.list(now, func(*peer) bool { return true })
-}
-
-// Reachable returns the VMs that are heard, or reported by VMs that hear them, sorted by id.
-func (m *Membership) Reachable(now time.Duration) []Peer {
-	return m.list(now, func(p *peer) bool { return m.reachable(now, p) })
-}
-
-// Heard returns the VMs whose heartbeats are received here, sorted by id.
-func (m *Membership) Heard(now time.Duration) []Peer {
-	return m.list(now, func(p *peer) bool { return m.heard(now, p) })
-}
-
-// list returns the VMs that the function selects, sorted by id, and forgets those beyond peerRetention.
-func (m *Membership) list(now time.Duration, selects func(*peer) bool) []Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make([]Peer, 0, len(m.peers))
-	for id, p := range m.peers {
+	for _, id := range m.sortedIDs() {
+		p := m.peers[id]
 		if now-p.LastHeartbeat > peerRetention {
 			delete(m.peers, id)
+			m.ids = nil
 			continue
 		}
-		if selects(p) {
-			out = append(out, p.Peer)
-		}
+		view := p.Peer
+		view.Heard, view.Reachable = m.heard(now, p), m.reachable(now, p)
+		out = append(out, view)
 	}
-	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
 	return out
 }
 
+// Reachable returns those of Peers that are reachable.
+func (m *Membership) Reachable(now time.Duration) []Peer {
+	return slices.DeleteFunc(m.Peers(now), func(p Peer) bool { return !p.Reachable })
+}
+
+func (m *Membership) sortedIDs() []string {
+	if m.ids == nil {
+		m.ids = slices.Sorted(maps.Keys(m.peers))
+	}
+	return m.ids
+}
+
 func (m *Membership) heard(now time.Duration, p *peer) bool {
-	return p.Heard && now-p.LastHeard <= m.timeout()
+	return p.EverHeard && now-p.LastHeard <= m.timeout()
 }
 
 func (m *Membership) reachable(now time.Duration, p *peer) bool {
--- a/zone/membership/report.go
+++ b/zone/membership/report.go
@@ -1,8 +1,6 @@
 package membership
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -16,7 +14,7 @@
 	defer m.mu.Unlock()
 	reportAll := now-m.lastJoin < reportAllDuration || len(m.peers) >= largeFleetSize
 	reports := m.report(now, heartbeatNumber, maxReportedPeers, func(p *peer) bool {
-		if !p.Heard || p.LastHeard+reportSkew < p.LastHeartbeat {
+		if !p.EverHeard || p.LastHeard+reportSkew < p.LastHeartbeat {
 			return false
 		}
 		return reportAll || !p.Hub || now-p.LastHeard > m.timeout()/2
@@ -45,7 +43,8 @@
 // others, if there are any; the number of the heartbeat selects a part of each.
 func (m *Membership) report(now time.Duration, heartbeatNumber uint64, size int, selects func(*peer) bool) []fuchsiaspoke.ReportedPeer {
 	var changed, others []*peer
-	for _, p := range m.peers {
+	for _, id := range m.sortedIDs() {
+		p := m.peers[id]
 		m.noticeSilence(now, p)
 		switch {
 		case now-p.LastHeartbeat > peerRetention || !selects(p):
@@ -69,15 +68,14 @@
 
 // noticeSilence marks a VM as changed once it is no longer heard, after it was for a while, and nobody reports it.
 func (m *Membership) noticeSilence(now time.Duration, p *peer) {
-	wasContact := p.Heard && p.LastHeard-p.heardSince >= minContactDuration
+	wasContact := p.EverHeard && p.LastHeard-p.heardSince >= minContactDuration
 	if !p.silent && wasContact && p.LastHeard+reportSkew >= p.LastHeartbeat && !m.heard(now, p) {
 		p.silent, p.changedAt = true, now
 	}
 }
 
-// page returns at most size VMs in the order of their ids; the number selects which.
+// page returns at most size of the VMs; the number selects which.
 func page(all []*peer, number uint64, size int) []*peer {
-	slices.SortFunc(all, func(a, b *peer) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
 	if len(all) <= size || size <= 0 {
 		return all[:min(max(size, 0), len(all))]
 	}
--- a/zone/planner/planner.go
+++ b/zone/planner/planner.go
@@ -89,6 +89,10 @@
 // rankByCapacity ranks VMs by weighted rendezvous hashing, so that a VM is a hub in proportion to its capacity (Schindelhauer and
 // Schomaker, "Weighted Distributed Hash Tables", 2005). Ready VMs go before all others.
 func rankByCapacity(all []Candidate) []Candidate {
+	scores := make(map[string]float64, len(all))
+	for _, c := range all {
+		scores[c.VM.ID] = score(c.VM)
+	}
 	ranked := slices.Clone(all)
 	slices.SortFunc(ranked, func(a, b Candidate) int {
 		if a.Ready != b.Ready {
@@ -97,7 +101,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(score(b.VM), score(a.VM)), cmp.Compare(a.VM.ID, b.VM.ID))
+		return cmp.Or(cmp.Compare(scores[b.VM.ID], scores[a.VM.ID]), cmp.Compare(a.VM.ID, b.VM.ID))
 	})
 	return ranked
 }
