Mend faults of links and trackers found by readers

Each with a test that failed before, but for the two noted: - acceptor.Serve returned nil where accepting failed while its context went on. - dialer.Call closed the connection that other calls share when one call's context ended before its stream was open (by reading). - dialer left a connection open whose peer has no identity (by reading). - tracker kept the record of each replica that ever was; records without use for ten minutes go.

--- a/link/acceptor/acceptor.go
+++ b/link/acceptor/acceptor.go
@@ -53,7 +53,8 @@
 	a.handlers[method] = handle
 }
 
-// Serve accepts connections on the transport's socket until ctx is done, then waits for running calls.
+// Serve accepts connections on the transport's socket until ctx is done or accepting fails, then waits for running calls. It returns
+// the context's error or the cause.
 func (a *Acceptor) Serve(ctx context.Context, transport *quic.Transport) error {
 	cfg := &quic.Config{MaxIdleTimeout: cmp.Or(a.IdleTimeout, defaultIdleTimeout), MaxIncomingStreams: maxStreams}
 	listener, err := transport.Listen(a.TLS, cfg)
@@ -66,7 +67,7 @@
 	for {
 		conn, err := listener.Accept(ctx)
 		if err != nil {
-			return errors.Wrap(ctx.Err(), "accept")
+			return errors.Wrap(cmp.Or(ctx.Err(), err), "accept link")
 		}
 		wg.Go(func() { a.serveConn(ctx, conn) })
 	}
--- a/link/dialer/dialer.go
+++ b/link/dialer/dialer.go
@@ -74,7 +74,9 @@
 	}
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		d.closeConn(vm, conn)
+		if ctx.Err() == nil {
+			d.closeConn(vm, conn)
+		}
 		return errors.Wrapf(notSentError{err}, "open stream to VM %s at %s", vm.ID, vm.LinkAddress)
 	}
 	stop := context.AfterFunc(ctx, func() {
@@ -210,6 +212,7 @@
 	}
 	peer, _, err := keyring.PeerIdentity(conn.ConnectionState().TLS)
 	if err != nil {
+		_ = conn.CloseWithError(0, "unknown peer")
 		return nil, err
 	}
 	if peer != vm.ID {
--- a/link/dialer/dialer_test.go
+++ b/link/dialer/dialer_test.go
@@ -126,3 +126,48 @@
 		t.Fatalf("call to a stopped VM failed after %v, want at most 5 s", waited)
 	}
 }
+
+// The acceptor's socket fails while its context goes on.
+func TestServeReturnsWhyAcceptingFailed(t *testing.T) {
+	ring, err := keyring.New(strings.Repeat("ab", 32))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tlsConfig, err := ring.TLS("vm_1", "one")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() {
+		done <- (&acceptor.Acceptor{TLS: tlsConfig}).Serve(context.Background(), &quic.Transport{Conn: conn})
+	}()
+	time.Sleep(100 * time.Millisecond)
+	conn.Close()
+	select {
+	case err := <-done:
+		if err == nil {
+			t.Error("accepting failed without an error")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("Serve goes on although its socket is closed")
+	}
+}
+
+// A VM that became unreachable is called again later over a new connection.
+func TestCallAfterCloseVMConnectsAgain(t *testing.T) {
+	key := strings.Repeat("ab", 32)
+	vm, _ := startVM(t, key)
+	d := newDialer(t, key)
+	for range 2 {
+		err := d.Call(context.Background(), vm, "count", 1, nil)
+		var refusal *fuchsiaspoke.Refusal
+		if !errors.As(err, &refusal) {
+			t.Fatalf("error %v, want the VM's refusal", err)
+		}
+		d.CloseVM(vm)
+	}
+}
--- a/upstream/tracker/tracker.go
+++ b/upstream/tracker/tracker.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -24,14 +25,17 @@
 	// baselineLatency is the average answer time above which a replica's cost rises, by that of one request in flight for each
 	// further baselineLatency.
 	baselineLatency = 100 * time.Millisecond
+	// recordRetention is how long the record of a replica without requests is kept.
+	recordRetention = 10 * time.Minute
 	// backoffCost ranks replicas in backoff after all others.
 	backoffCost = 1000.0
 )
 
 // Tracker keeps one record for each replica. Its zero value is ready to use, and it is safe for concurrent use.
 type Tracker struct {
-	mu      sync.Mutex
-	records map[string]*record
+	mu         sync.Mutex
+	records    map[string]*record
+	lastPruned time.Duration
 }
 
 type record struct {
@@ -49,11 +53,28 @@
 func (t *Tracker) RecordStart(now time.Duration, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.prune(now)
 	r := t.record(id)
 	r.inFlight++
 	r.lastUsedAt = now
 }
 
+// prune removes, at most once in recordRetention, the records of replicas that were not used for so long.
+func (t *Tracker) prune(now time.Duration) {
+	if now-t.lastPruned < recordRetention {
+		return
+	}
+	t.lastPruned = now
+	maps.DeleteFunc(t.records, func(_ string, r *record) bool { return r.inFlight == 0 && now-r.lastUsedAt > recordRetention })
+}
+
+// Size returns the number of replicas with a record.
+func (t *Tracker) Size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records)
+}
+
 // RecordAnswer records the end of a request with an answer; failed means that the answer was a failure of the replica.
 func (t *Tracker) RecordAnswer(now time.Duration, id string, latency time.Duration, failed bool) {
 	t.mu.Lock()
--- a/upstream/tracker/tracker_test.go
+++ b/upstream/tracker/tracker_test.go
@@ -1,6 +1,7 @@
 package tracker_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -83,3 +84,21 @@
 		t.Errorf("replica whose caller disconnected ranked first %d of 200 times, want at least 30", n)
 	}
 }
+
+// Replicas come and go under new ids for days.
+func TestRecordsOfFormerReplicasAreRemoved(t *testing.T) {
+	var tr tracker.Tracker
+	tr.RecordStart(0, "in use")
+	for n := range 10_000 {
+		now, id := time.Duration(n)*time.Minute, fmt.Sprint("replica_", n)
+		tr.RecordStart(now, id)
+		tr.RecordAnswer(now, id, time.Millisecond, false)
+	}
+	if n := tr.Size(); n > 50 {
+		t.Errorf("%d records after 10,000 replicas with one request each", n)
+	}
+	tr.RecordStart(20_000*time.Minute, "new")
+	if tr.Size() != 2 {
+		t.Errorf("%d records, want those of the new replica and of the one with a request in flight", tr.Size())
+	}
+}
