--- a/zone/membership/membership.go
+++ b/zone/membership/membership.go
@@ -29,10 +29,10 @@
 	// changeReportDuration is how long heartbeats name a VM before all others after it has changed.
 	changeReportDuration = 2 * time.Second
 	// reportAllDuration is how long heartbeats name all VMs that this one hears after a VM has joined.
-	reportAllDuration = 5 * time.Second
+	reportAllDuration = 10 * time.Second
 	// maxReportedPeers is the largest number of VMs in one heartbeat, so that it fits a packet; the next heartbeats name the rest.
-	// Heartbeats to leaves name formingFactor times as many while VMs join, and later only one in restInterval of them names VMs that
-	// did not change.
+	// Heartbeats to leaves name formingFactor times as many while VMs join. Later only one in restInterval heartbeats of a large fleet
+	// names VMs that did not change.
 	maxReportedPeers = 12
 	formingFactor    = 3
 	restInterval     = 4
--- a/zone/membership/report.go
+++ b/zone/membership/report.go
@@ -8,12 +8,12 @@
 
 // ReportToHubs returns the VMs to name in a heartbeat to hubs. Only VMs that this one hears are named, so that no report can
 // return to its source and seem newer. A small fleet, in which all VMs hear each other, names them after a VM has joined or once they
-// are nearly silent.
+// are nearly silent; a large one in turn.
 func (m *Membership) ReportToHubs(now time.Duration, heartbeatNumber uint64) []fuchsiaspoke.ReportedPeer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	reportAll := now-m.lastJoin < reportAllDuration || len(m.peers) >= largeFleetSize
-	reports := m.report(now, heartbeatNumber, maxReportedPeers, func(p *peer) bool {
+	reports := m.reportInTurn(now, heartbeatNumber, 1, func(p *peer) bool {
 		if !p.EverHeard || p.LastHeard+reportSkew < p.LastHeartbeat {
 			return false
 		}
@@ -25,17 +25,24 @@
 	return reports
 }
 
-// ReportToLeaves returns the VMs to name in a heartbeat to leaves: all in turn, more at once after a VM has joined. In a fleet
-// without joins only one in restInterval heartbeats names VMs that did not change.
+// ReportToLeaves returns the VMs to name in a heartbeat to leaves: all in turn, more at once after a VM has joined.
 func (m *Membership) ReportToLeaves(now time.Duration, heartbeatNumber uint64) []fuchsiaspoke.ReportedPeer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if now-m.lastJoin < reportAllDuration {
-		return m.report(now, heartbeatNumber, formingFactor*maxReportedPeers, func(*peer) bool { return true })
+	return m.reportInTurn(now, heartbeatNumber, formingFactor, func(*peer) bool { return true })
+}
+
+// reportInTurn returns the VMs to name of those that the function selects: factor times maxReportedPeers while VMs join. Later only
+// one in restInterval heartbeats names VMs that did not change.
+func (m *Membership) reportInTurn(
+	now time.Duration, heartbeatNumber uint64, factor int, selects func(*peer) bool,
+) []fuchsiaspoke.ReportedPeer {
+	if now-m.lastJoin < reportAllDuration || len(m.peers) < largeFleetSize {
+		return m.report(now, heartbeatNumber, factor*maxReportedPeers, selects)
 	}
 	namesAll := heartbeatNumber%restInterval == 0
 	return m.report(now, heartbeatNumber/restInterval, maxReportedPeers, func(p *peer) bool {
-		return namesAll || now-p.changedAt < changeReportDuration
+		return selects(p) && (namesAll || now-p.changedAt < changeReportDuration)
 	})
 }
 
