--- a/contract/ratelimiter/leaf.go
+++ b/contract/ratelimiter/leaf.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// levelsTimeout is how long a leaf relies on the bucket levels of its hub; two heartbeats may be lost.
+	// levelsTimeout is how long a leaf relies on the bucket levels of its hub; four heartbeat intervals of a large fleet.
 	levelsTimeout = 1200 * time.Millisecond
 	// maxSentCounts is the number of heartbeats whose counts a leaf keeps until its hub acknowledges them.
 	maxSentCounts = 16
@@ -24,9 +24,9 @@
 	heardAt         time.Duration
 }
 
-// following is what a leaf knows of its hub.
-type following struct {
-	// adoptedAt is when the hub's levels were last adopted, 0 if they never were; share is what the hub told then.
+// hubState is what a leaf knows of its hub.
+type hubState struct {
+	// adoptedAt is when the hub's levels were last adopted, 0 if they never were; share is the RateShare received with them.
 	adoptedAt time.Duration
 	share     float64
 	sent      []sentCounts
@@ -38,7 +38,7 @@
 	admittedTokens  map[string]float64
 }
 
-func (f *following) recordSent(number uint64, admittedTokens map[string]float64) {
+func (f *hubState) recordSent(number uint64, admittedTokens map[string]float64) {
 	f.sent = append(f.sent, sentCounts{number, admittedTokens})
 	if len(f.sent) > maxSentCounts {
 		f.sent = f.sent[1:]
@@ -47,7 +47,7 @@
 
 // rateShare returns the fraction of each rate that accrues here until the hub's next levels. Without a hub it is this VM's part of
 // a fleet of the given size.
-func (f *following) rateShare(now time.Duration, fleetSize int) float64 {
+func (f *hubState) rateShare(now time.Duration, fleetSize int) float64 {
 	if f.adoptedAt > 0 && now-f.adoptedAt <= levelsTimeout {
 		return f.share
 	}
@@ -65,9 +65,9 @@
 	}
 	l.epoch = epoch
 	l.admittedTokens = make(map[string]float64)
-	l.following = nil
+	l.hub = nil
 	if isLeaf {
-		l.following = &following{}
+		l.hub = &hubState{}
 	}
 }
 
@@ -107,7 +107,7 @@
 func (l *RateLimiter) Prepare(now time.Duration, accounts map[string]fuchsiaspoke.AccountContract) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.leaves) == 0 || l.following != nil {
+	if len(l.leaves) == 0 || l.hub != nil {
 		return
 	}
 	for _, a := range accounts {
@@ -136,11 +136,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	acked, counted := state.Acks[l.Self]
-	if l.following == nil || !counted {
+	if l.hub == nil || !counted {
 		return
 	}
-	l.following.adoptedAt, l.following.share = now, state.RateShare
-	reported := l.following.countsAt(acked)
+	l.hub.adoptedAt, l.hub.share = now, state.RateShare
+	reported := l.hub.countsAt(acked)
 	for account, level := range state.BucketLevels {
 		unreported := l.admittedTokens[account] - reported[account]
 		l.accounts[account] = &bucket{level: level - unreported, lastRefill: now}
@@ -148,7 +148,7 @@
 }
 
 // countsAt returns the counts sent in the heartbeat of the given number, and none if it is unknown, so that all count as unreported.
-func (f *following) countsAt(number uint64) map[string]float64 {
+func (f *hubState) countsAt(number uint64) map[string]float64 {
 	for _, s := range f.sent {
 		if s.heartbeatNumber == number {
 			return s.admittedTokens
--- a/contract/ratelimiter/ratelimiter.go
+++ b/contract/ratelimiter/ratelimiter.go
@@ -57,8 +57,8 @@
 	// admittedTokens are the tokens that this VM and its leaves admitted since the start of the epoch.
 	admittedTokens map[string]float64
 	epoch          uint64
-	// following is set while this VM is a leaf.
-	following *following
+	// hub is set while this VM is a leaf.
+	hub *hubState
 }
 
 // bucket is the token bucket of one client account as this VM knows it.
@@ -116,8 +116,8 @@
 	for name, b := range l.accounts {
 		bucketLevels[name] = b.level
 	}
-	if l.following != nil {
-		l.following.recordSent(heartbeatNumber, admittedTokens)
+	if l.hub != nil {
+		l.hub.recordSent(heartbeatNumber, admittedTokens)
 	}
 	return admittedTokens, bucketLevels
 }
@@ -186,8 +186,8 @@
 
 // rateShare returns the fraction of each rate that the VMs on this side of a partition may admit together.
 func (l *RateLimiter) rateShare(now time.Duration) float64 {
-	if l.following != nil {
-		return l.following.rateShare(now, l.fleetSize())
+	if l.hub != nil {
+		return l.hub.rateShare(now, l.fleetSize())
 	}
 	live, unreachable := 1, 0
 	for id, p := range l.peers {
--- a/upstream/requester/requester.go
+++ b/upstream/requester/requester.go
@@ -63,7 +63,7 @@
 
 	mu          sync.Mutex
 	controllers map[string]*controller.Controller
-	// learnedOwners are the owners of engines as hubs told, by engine.
+	// learnedOwners are the owners of engines that hubs reported, by engine.
 	learnedOwners map[string]learnedOwner
 }
 
@@ -126,7 +126,7 @@
 	return r.controllers[engine]
 }
 
-// LearnOwner records the owner of an engine as a hub told it.
+// LearnOwner records the owner of an engine that a hub reported.
 func (r *Requester) LearnOwner(engine string, owner fuchsiaspoke.VM) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -136,7 +136,7 @@
 	r.learnedOwners[engine] = learnedOwner{owner, r.Clock()}
 }
 
-// Owner returns the VM that owns the engine as far as known: this VM, or the one last told by a hub or by its own heartbeat.
+// Owner returns the VM that owns the engine as far as known: this VM, or the one last reported by a hub or by its own heartbeat.
 func (r *Requester) Owner(engine string) (fuchsiaspoke.VM, bool) {
 	if r.controller(engine) != nil {
 		return r.Self, true
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -138,7 +138,7 @@
 		e.rateLimiter.ObserveLeaf(now, s)
 	case s.Hub && s.WantsAnswer && role.Hub:
 		e.rateLimiter.Observe(now, s)
-	case s.Hub && !s.WantsAnswer && s.VM.ID == role.Upstream():
+	case s.Hub && !s.WantsAnswer && s.VM.ID == role.ReportsTo():
 		e.rateLimiter.Adopt(now, s)
 	}
 }
--- a/vm_state.go
+++ b/vm_state.go
@@ -69,6 +69,6 @@
 	Ready    bool          `cbor:"4,keyasint,omitempty"`
 	Draining bool          `cbor:"5,keyasint,omitempty"`
 	Hub      bool          `cbor:"6,keyasint,omitempty"`
-	// Silent reports that no VM that is known to the sender hears this one any more.
+	// Silent reports that the VM's heartbeats have stopped, as far as the sender knows.
 	Silent bool `cbor:"7,keyasint,omitempty"`
 }
--- a/zone/exchanger/exchanger.go
+++ b/zone/exchanger/exchanger.go
@@ -46,8 +46,8 @@
 	planner planner.Planner
 }
 
-// Upstream returns the id of the hub to which this VM reports the tokens that it admits; empty on a hub.
-func (r Role) Upstream() string {
+// ReportsTo returns the id of the hub to which this VM reports the tokens that it admits; empty on a hub.
+func (r Role) ReportsTo() string {
 	if len(r.LeafOf) == 0 {
 		return ""
 	}
@@ -81,7 +81,7 @@
 	if next.Hub && !x.role.Hub {
 		next.HubSince = now
 	}
-	if next.Hub != x.role.Hub || next.Upstream() != x.role.Upstream() {
+	if next.Hub != x.role.Hub || next.ReportsTo() != x.role.ReportsTo() {
 		next.CountEpoch++
 	}
 	x.role = next
