Known red: a hot account passes its rate in a large fleet

Left as it is: lending tokens in escrow is a change of its own. Ruled out for now: stopping early by the fall of levels, which would refuse bursts inside the rate.

--- a/contract/ratelimiter/leaf_test.go
+++ b/contract/ratelimiter/leaf_test.go
@@ -185,3 +185,20 @@
 		t.Errorf("%d of %d requests refused at 0.9 of the rate", refused, requests)
 	}
 }
+
+// A client account sends twenty times its rate over all leaves, which learn of each other's requests with a delay (QUOTA on large
+// scale-2, journal 8de9e850: 5.01 million tokens in 8 s, 4.87 allowed).
+func TestLargeFleetStaysWithinRateOfHotAccount(t *testing.T) {
+	f := newLargeFleet()
+	rng := rand.New(rand.NewPCG(*seed, 6))
+	f.run(60*time.Second, func(now time.Duration) {
+		for range 20 {
+			f.admit(rng.IntN(len(f.vms)), now, rate/100)
+		}
+	})
+	counter := &fleet{admissions: f.admitted}
+	limit := (rate*window.Seconds()+burst)*(1+overage) + slack
+	if admitted := counter.maxAdmittedInWindow(); admitted > limit {
+		t.Errorf("%.0f tokens admitted within %v, the limit is %.0f", admitted, window, limit)
+	}
+}
