Say ready replicas, owners, records and deductions once

Behaviour stays.

Left: the rate limiter repeats the fleet sizes of membership's heartbeat interval; one function for both would change its timeout between 11 and 19 hubs.

--- a/contract/ratelimiter/leaf.go
+++ b/contract/ratelimiter/leaf.go
@@ -38,18 +38,18 @@
 	admittedTokens  map[string]float64
 }
 
-func (f *hubState) recordSent(number uint64, admittedTokens map[string]float64) {
-	f.sent = append(f.sent, sentCounts{number, admittedTokens})
-	if len(f.sent) > maxSentCounts {
-		f.sent = f.sent[1:]
+func (h *hubState) recordSent(number uint64, admittedTokens map[string]float64) {
+	h.sent = append(h.sent, sentCounts{number, admittedTokens})
+	if len(h.sent) > maxSentCounts {
+		h.sent = h.sent[1:]
 	}
 }
 
 // rateShare returns the fraction of each rate that accrues here until the hub's next levels. Without a hub it is this VM's part of
 // a fleet of the given size.
-func (f *hubState) rateShare(now time.Duration, fleetSize int) float64 {
-	if f.adoptedAt > 0 && now-f.adoptedAt <= levelsTimeout {
-		return f.share
+func (h *hubState) rateShare(now time.Duration, fleetSize int) float64 {
+	if h.adoptedAt > 0 && now-h.adoptedAt <= levelsTimeout {
+		return h.share
 	}
 	return 1 / float64(max(fleetSize, 1))
 }
@@ -96,9 +96,7 @@
 	for account, n := range state.AdmittedTokens {
 		added := n - known.admittedTokens[account]
 		l.admittedTokens[account] += added
-		if b := l.accounts[account]; b != nil {
-			b.level -= added
-		}
+		l.deduct(account, added)
 	}
 	known.admittedTokens, known.heartbeatNumber, known.heardAt = state.AdmittedTokens, state.HeartbeatNumber, now
 }
@@ -148,8 +146,8 @@
 }
 
 // countsAt returns the counts sent in the heartbeat of the given number, and none if it is unknown, so that all count as unreported.
-func (f *hubState) countsAt(number uint64) map[string]float64 {
-	for _, s := range f.sent {
+func (h *hubState) countsAt(number uint64) map[string]float64 {
+	for _, s := range h.sent {
 		if s.heartbeatNumber == number {
 			return s.admittedTokens
 		}
--- a/contract/ratelimiter/ratelimiter.go
+++ b/contract/ratelimiter/ratelimiter.go
@@ -138,14 +138,19 @@
 		l.peers[state.VM.ID] = known
 	}
 	for account, n := range state.AdmittedTokens {
-		if b := l.accounts[account]; b != nil {
-			b.level -= n - known.admittedTokens[account]
-		}
+		l.deduct(account, n-known.admittedTokens[account])
 	}
 	known.admittedTokens, known.lastHeartbeat = state.AdmittedTokens, now
 	l.addIndirectPeers(now, state.Peers)
 }
 
+// deduct takes tokens that another VM admitted from the account's bucket, if there is one.
+func (l *RateLimiter) deduct(account string, tokens float64) {
+	if b := l.accounts[account]; b != nil {
+		b.level -= tokens
+	}
+}
+
 // addIndirectPeers adds VMs that a peer reports but this VM does not know, as they may admit requests on another side of a
 // partition.
 func (l *RateLimiter) addIndirectPeers(now time.Duration, reported []fuchsiaspoke.ReportedPeer) {
--- a/link/dialer/dialer.go
+++ b/link/dialer/dialer.go
@@ -106,13 +106,7 @@
 
 // CloseVM closes the connection to a VM, if there is one; calls on it fail.
 func (d *Dialer) CloseVM(vm fuchsiaspoke.VM) {
-	peer := d.peerConn(vm)
-	peer.mu.Lock()
-	defer peer.mu.Unlock()
-	if peer.conn != nil {
-		_ = peer.conn.CloseWithError(0, "VM unreachable")
-		peer.conn = nil
-	}
+	d.peerConn(vm).close("VM unreachable")
 }
 
 // Close closes all connections.
@@ -120,15 +114,21 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, peer := range d.conns {
-		peer.mu.Lock()
-		if peer.conn != nil {
-			_ = peer.conn.CloseWithError(0, "closed")
-		}
-		peer.mu.Unlock()
+		peer.close("closed")
 	}
 	d.conns = nil
 }
 
+// close closes the connection, if there is one, and tells the peer the reason.
+func (p *peerConn) close(reason string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		_ = p.conn.CloseWithError(0, reason)
+		p.conn = nil
+	}
+}
+
 func (d *Dialer) roundTrip(stream *quic.Stream, request frame.Frame, receive func(cbor.RawMessage) error) error {
 	if err := request.Write(stream, d.Clock); err != nil {
 		return errors.Wrap(err, "write request")
--- a/link/dialer/dialer_test.go
+++ b/link/dialer/dialer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"strings"
 	"testing"
@@ -17,22 +18,28 @@
 	"github.com/quic-go/quic-go"
 )
 
-// startVM serves the method count, which sends the numbers below n and then a refusal, as VM vm_1.
-func startVM(t *testing.T, fleetKey string) (fuchsiaspoke.VM, context.CancelFunc) {
+// tlsConfig returns the TLS configuration of a VM.
+func tlsConfig(t *testing.T, fleetKey, vm string) *tls.Config {
 	t.Helper()
 	ring, err := keyring.New(fleetKey)
 	if err != nil {
 		t.Fatal(err)
 	}
-	tlsConfig, err := ring.TLS("vm_1", "one")
+	cfg, err := ring.TLS(vm, "one")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return cfg
+}
+
+// startVM serves the method count, which sends the numbers below n and then a refusal, as VM vm_1.
+func startVM(t *testing.T, fleetKey string) (fuchsiaspoke.VM, context.CancelFunc) {
+	t.Helper()
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := &acceptor.Acceptor{TLS: tlsConfig}
+	a := &acceptor.Acceptor{TLS: tlsConfig(t, fleetKey, "vm_1")}
 	a.Handle("count", func(_ context.Context, _ string, request frame.Frame, send func(any) error) error {
 		var n int
 		if err := request.Decode(&n); err != nil {
@@ -60,15 +67,7 @@
 
 func newDialer(t *testing.T, fleetKey string) *dialer.Dialer {
 	t.Helper()
-	ring, err := keyring.New(fleetKey)
-	if err != nil {
-		t.Fatal(err)
-	}
-	tlsConfig, err := ring.TLS("vm_caller", "one")
-	if err != nil {
-		t.Fatal(err)
-	}
-	d := &dialer.Dialer{TLS: tlsConfig}
+	d := &dialer.Dialer{TLS: tlsConfig(t, fleetKey, "vm_caller")}
 	t.Cleanup(d.Close)
 	return d
 }
@@ -129,22 +128,13 @@
 
 // The acceptor's socket fails while its context goes on.
 func TestServeReturnsWhyAcceptingFailed(t *testing.T) {
-	ring, err := keyring.New(strings.Repeat("ab", 32))
-	if err != nil {
-		t.Fatal(err)
-	}
-	tlsConfig, err := ring.TLS("vm_1", "one")
-	if err != nil {
-		t.Fatal(err)
-	}
+	a := &acceptor.Acceptor{TLS: tlsConfig(t, strings.Repeat("ab", 32), "vm_1")}
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	done := make(chan error, 1)
-	go func() {
-		done <- (&acceptor.Acceptor{TLS: tlsConfig}).Serve(context.Background(), &quic.Transport{Conn: conn})
-	}()
+	go func() { done <- a.Serve(context.Background(), &quic.Transport{Conn: conn}) }()
 	time.Sleep(100 * time.Millisecond)
 	conn.Close()
 	select {
--- a/published_state.go
+++ b/published_state.go
@@ -22,6 +22,17 @@
 	return p.Versions[model][adapter]
 }
 
+// ReadyReplicas returns the service's replicas in the state ready, in no particular order.
+func (p *PublishedState) ReadyReplicas(service string) []Replica {
+	var out []Replica
+	for _, r := range p.Replicas {
+		if r.Service == service && r.State == ReplicaReady {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // PublicationQuery requests from another VM the publications that are newer than the sender's.
 type PublicationQuery struct {
 	Revision        int64 `cbor:"1,keyasint"`
--- a/upstream/finder/finder.go
+++ b/upstream/finder/finder.go
@@ -62,8 +62,8 @@
 	}
 	now := f.Clock()
 	var candidates []selector.Candidate
-	for _, r := range p.Replicas {
-		if r.Service != service || r.State != fuchsiaspoke.ReplicaReady || excluded(r.ID) {
+	for _, r := range p.ReadyReplicas(service) {
+		if excluded(r.ID) {
 			continue
 		}
 		c := selector.Candidate{Replica: r, Failing: f.Tracker.Failing(now, r.ID) || failing(r.ID)}
@@ -81,13 +81,11 @@
 ) ([]selector.Choice, error) {
 	ctx, cancel := context.WithTimeout(ctx, rankTimeout)
 	defer cancel()
-	p, now := f.Published(), f.Clock()
+	now := f.Clock()
 	query := fuchsiaspoke.RankQuery{Service: service, Demand: d}
 	ready := make(map[string]fuchsiaspoke.Replica)
-	for _, r := range p.Replicas {
+	for _, r := range f.Published().ReadyReplicas(service) {
 		switch {
-		case r.Service != service || r.State != fuchsiaspoke.ReplicaReady:
-			continue
 		case tried[r.ID]:
 			query.Excluded = append(query.Excluded, r.ID)
 		case f.Tracker.Failing(now, r.ID):
@@ -107,11 +105,9 @@
 		if !known {
 			continue
 		}
-		if e.Owner.ID != "" {
-			f.Requester.LearnOwner(e.Engine, e.Owner)
-		}
 		choices = append(choices, selector.Choice{
 			Replica: r, EstimatedWait: e.EstimatedWait, Resident: e.Resident, Loading: e.Loading, Accepting: e.Accepting,
+			Owner: e.Owner,
 		})
 	}
 	return choices, nil
--- a/upstream/finder/finder_test.go
+++ b/upstream/finder/finder_test.go
@@ -94,9 +94,8 @@
 	if len(choices) != 2 || choices[0].Replica.ID != "e2" || !choices[0].Accepting || !choices[0].Resident {
 		t.Fatalf("choices %+v, want the accepting engine e2, where the adapter is resident, first of two", choices)
 	}
-	owner, known := leaf.Requester.Owner("e2")
-	if !known || owner.ID != "owner_of_e2" || owner.LinkAddress == "" {
-		t.Errorf("owner %+v (known: %v), want the one that the hub told", owner, known)
+	if owner := choices[0].Owner; owner.ID != "owner_of_e2" || owner.LinkAddress == "" {
+		t.Errorf("owner %+v, want the one that the hub told", owner)
 	}
 }
 
--- a/upstream/requester/requester.go
+++ b/upstream/requester/requester.go
@@ -63,13 +63,6 @@
 
 	mu          sync.Mutex
 	controllers map[string]*controller.Controller
-	// learnedOwners are the owners of engines that hubs reported, by engine.
-	learnedOwners map[string]learnedOwner
-}
-
-type learnedOwner struct {
-	vm        fuchsiaspoke.VM
-	learnedAt time.Duration
 }
 
 // Admission is the right to send one request to an engine, until Release.
@@ -126,37 +119,21 @@
 	return r.controllers[engine]
 }
 
-// LearnOwner records the owner of an engine that a hub reported.
-func (r *Requester) LearnOwner(engine string, owner fuchsiaspoke.VM) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.learnedOwners == nil {
-		r.learnedOwners = make(map[string]learnedOwner)
-	}
-	r.learnedOwners[engine] = learnedOwner{owner, r.Clock()}
-}
-
-// Owner returns the VM that owns the engine as far as known: this VM, or the one last reported by a hub or by its own heartbeat.
+// Owner returns this VM if it owns the engine, or else the VM whose heartbeats claim it, and whether there is one.
 func (r *Requester) Owner(engine string) (fuchsiaspoke.VM, bool) {
 	if r.controller(engine) != nil {
 		return r.Self, true
 	}
-	r.mu.Lock()
-	learned, isLearned := r.learnedOwners[engine]
-	r.mu.Unlock()
 	_, claim, claimed := r.Peers.View(engine)
-	if isLearned && (!claimed || learned.learnedAt > claim.ReceivedAt) {
-		return learned.vm, true
-	}
 	if !claimed {
 		return fuchsiaspoke.VM{}, false
 	}
 	return r.Peers.VM(claim.VM)
 }
 
-// Request waits for admission. Its error is a *fuchsiaspoke.Refusal, a *WaitLimitError or ctx's error, or has ErrNoOwner among
+// Request waits for admission. Owner is the engine's owner as a hub reported it; without an id it is that of Owner. Its error is a *fuchsiaspoke.Refusal, a *WaitLimitError or ctx's error, or has ErrNoOwner among
 // its causes.
-func (r *Requester) Request(ctx context.Context, req fuchsiaspoke.AdmissionRequest) (*Admission, error) {
+func (r *Requester) Request(ctx context.Context, req fuchsiaspoke.AdmissionRequest, owner fuchsiaspoke.VM) (*Admission, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	replies := make(chan fuchsiaspoke.AdmissionReply, 2)
 	finished := make(chan error, 1)
@@ -164,7 +141,7 @@
 		replies <- reply
 		return nil
 	}
-	progress, err := r.start(ctx, req, send, finished)
+	progress, err := r.start(ctx, req, owner, send, finished)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -180,7 +157,8 @@
 // start passes the request to this VM's controller of the engine, or else sends it to the engine's owner, and returns the
 // function that reports progress. In the background, send receives the replies, and finished the error with which the call ends.
 func (r *Requester) start(
-	ctx context.Context, req fuchsiaspoke.AdmissionRequest, send func(fuchsiaspoke.AdmissionReply) error, finished chan<- error,
+	ctx context.Context, req fuchsiaspoke.AdmissionRequest, owner fuchsiaspoke.VM, send func(fuchsiaspoke.AdmissionReply) error,
+	finished chan<- error,
 ) (func(bool), error) {
 	if c := r.controller(req.Engine); c != nil {
 		go func() { finished <- c.Admit(ctx, req, send) }()
@@ -188,20 +166,22 @@
 			c.Progress(fuchsiaspoke.AdmissionProgress{ID: req.ID, Engine: req.Engine, NotHeld: notHeld})
 		}, nil
 	}
-	vm, known := r.Owner(req.Engine)
-	if !known {
-		return nil, ErrNoOwner
+	if owner.ID == "" {
+		var known bool
+		if owner, known = r.Owner(req.Engine); !known {
+			return nil, ErrNoOwner
+		}
 	}
 	go func() {
-		finished <- r.Dialer.Call(ctx, vm, MethodRequest, req, func(raw cbor.RawMessage) error {
+		finished <- r.Dialer.Call(ctx, owner, MethodRequest, req, func(raw cbor.RawMessage) error {
 			var reply fuchsiaspoke.AdmissionReply
 			if err := cbor.Unmarshal(raw, &reply); err != nil {
-				return errors.Wrapf(err, "decode admission reply from VM %s", vm.ID)
+				return errors.Wrapf(err, "decode admission reply from VM %s", owner.ID)
 			}
 			return send(reply)
 		})
 	}()
-	return func(notHeld bool) { go r.sendProgress(vm, req, notHeld) }, nil
+	return func(notHeld bool) { go r.sendProgress(owner, req, notHeld) }, nil
 }
 
 // sendProgress reports a request's progress to the engine's owner. An error is ignored, as the owner releases the admission at the
--- a/upstream/requester/requester_test.go
+++ b/upstream/requester/requester_test.go
@@ -48,7 +48,7 @@
 
 func requestAdmission(d fakeDialer, engine string) (*requester.Admission, error) {
 	r := &requester.Requester{Peers: fakePeers{}, Dialer: d, Clock: func() time.Duration { return time.Second }}
-	return r.Request(context.Background(), fuchsiaspoke.AdmissionRequest{ID: "r", Engine: engine})
+	return r.Request(context.Background(), fuchsiaspoke.AdmissionRequest{ID: "r", Engine: engine}, fuchsiaspoke.VM{})
 }
 
 func TestRequestReturnsGrantOfAnotherVM(t *testing.T) {
--- a/upstream/selector/selector.go
+++ b/upstream/selector/selector.go
@@ -66,6 +66,8 @@
 	Loading bool
 	// Accepting means that the engine has an owner, which accepts admission requests for it.
 	Accepting bool
+	// Owner is the engine's owner if a hub reported it.
+	Owner fuchsiaspoke.VM
 }
 
 // Select returns a choice for each candidate, shortest estimated wait first.
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -151,7 +151,7 @@
 	err := requester.ErrNoOwner
 	if choice.Accepting {
 		var admission *requester.Admission
-		if admission, err = t.Requester.Request(ctx, t.admissionRequest(choice, maxWait)); err == nil {
+		if admission, err = t.Requester.Request(ctx, t.admissionRequest(choice, maxWait), choice.Owner); err == nil {
 			t.Log("place granted", "request", t.request.ID, "engine", choice.Replica.ID, "adapter", t.request.Demand.Adapter,
 				"predicted_ms", choice.EstimatedWait.Milliseconds(), "resident", choice.Resident)
 			return admission, nil
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -105,15 +106,11 @@
 	return c != nil && c.Services[name].Engine != nil
 }
 
-// readyReplicas returns the replicas of the service that are ready and not yet tried.
-func (s *Sender) readyReplicas(service string, triedReplicas map[string]bool) []fuchsiaspoke.Replica {
-	var out []fuchsiaspoke.Replica
-	for _, r := range s.Published().Replicas {
-		if r.Service == service && r.State == fuchsiaspoke.ReplicaReady && !triedReplicas[r.ID] {
-			out = append(out, r)
-		}
-	}
-	return out
+// untriedReplicas returns the ready replicas of the request's service that were not tried yet.
+func (t *requestTask) untriedReplicas() []fuchsiaspoke.Replica {
+	return slices.DeleteFunc(t.Published().ReadyReplicas(t.request.Service), func(r fuchsiaspoke.Replica) bool {
+		return t.triedReplicas[r.ID]
+	})
 }
 
 // isReady reports whether the replica is still published as ready and has neither restarted nor moved.
@@ -171,7 +168,7 @@
 func (t *requestTask) servePlain(ctx context.Context) error {
 	var last *reply
 	for {
-		ranked := t.Tracker.Rank(t.Clock(), t.readyReplicas(t.request.Service, t.triedReplicas))
+		ranked := t.Tracker.Rank(t.Clock(), t.untriedReplicas())
 		if len(ranked) == 0 || t.Clock() > t.sendDeadline-minSendTime {
 			return t.finalResponse(ctx, last, "no replica left to try before the deadline")
 		}
--- a/zone/membership/membership.go
+++ b/zone/membership/membership.go
@@ -108,11 +108,7 @@
 	for _, r := range s.Peers {
 		m.mergeReport(now, r)
 	}
-	p := m.peers[s.VM.ID]
-	if p == nil {
-		p = &peer{changedAt: now}
-		m.peers[s.VM.ID], m.ids = p, nil
-	}
+	p, _ := m.peer(now, s.VM.ID)
 	heardBefore := p.EverHeard && p.Incarnation == s.Incarnation
 	if heardBefore && s.HeartbeatNumber < p.heartbeatNumber {
 		return false
@@ -144,6 +140,16 @@
 	}
 }
 
+// peer returns the record of a VM, which it adds if there is none.
+func (m *Membership) peer(now time.Duration, id string) (p *peer, added bool) {
+	if p = m.peers[id]; p != nil {
+		return p, false
+	}
+	p = &peer{changedAt: now}
+	m.peers[id], m.ids = p, nil
+	return p, true
+}
+
 // mergeReport takes over a report that is newer than what is known, and a report of silence that nothing newer contradicts. A high
 // age alone is no silence, as a VM is not named in every heartbeat.
 func (m *Membership) mergeReport(now time.Duration, r fuchsiaspoke.ReportedPeer) {
@@ -151,15 +157,9 @@
 		return
 	}
 	lastHeartbeat := now - r.Age
-	p := m.peers[r.VM.ID]
-	if p == nil {
-		p = &peer{changedAt: now}
-		m.peers[r.VM.ID], m.ids = p, nil
-		m.lastJoin = now
-		p.LastHeartbeat = lastHeartbeat - time.Nanosecond
-	}
-	if lastHeartbeat > p.LastHeartbeat {
-		if p.Incarnation != "" && r.Incarnation != p.Incarnation {
+	p, added := m.peer(now, r.VM.ID)
+	if added || lastHeartbeat > p.LastHeartbeat {
+		if added || p.Incarnation != "" && r.Incarnation != p.Incarnation {
 			m.lastJoin = now
 		}
 		p.update(lastHeartbeat, r)
