Hear a restarted VM although another reported its restart first; tell owners apart by their fences

Cause: a report that named the new incarnation made the VM's own heartbeats seem old, as their numbers begin again; they were dropped, with their claims, until they passed the former ones. Fencing numbers of two such owners were equal, as the last change of them left out the owner. A VM that is reported right after this one's start counted as unreachable, as its last heartbeat lies before the start.

Ruled out: the length of turns and the number of turns (no VM was silent for the claimer), clocks (no jump in the logs).

Each of the three has a test that failed first.

--- a/zone/claimer/claimer.go
+++ b/zone/claimer/claimer.go
@@ -54,9 +54,15 @@
 	// fenceUnitMs is the unit, in milliseconds, of an engine's start time in fencing tokens. As an engine accepts fewer orders than
 	// one in a unit on average, its order count never reaches the start time of its next incarnation.
 	fenceUnitMs = 50
-	// fenceAgeBits is the number of low bits of a fencing token that hold the engine's age in seconds, for owners that claim the
-	// engine at the same order count. Tokens stay below 2^53 until the year 2078, as JSON numbers require.
-	fenceAgeBits = 17
+	// fenceEpochMs is the Unix time, in milliseconds, from which start times in fencing tokens count: the start of 2020. Tokens stay
+	// below 2^53 until the year 2047, as JSON numbers require.
+	fenceEpochMs = 1_577_836_800_000
+	// fenceAgeBits is the number of bits of a fencing token that hold the engine's age in units of fenceAgeUnit, for owners that claim
+	// the engine one after the other at the same order count. The lease keeps them further apart than one unit.
+	fenceAgeBits = 10
+	fenceAgeUnit = 2 * time.Second
+	// fenceOwnerBits is the number of bits that hold the owner's hash, for owners that claim the engine at once.
+	fenceOwnerBits = 9
 )
 
 // Peer is another VM according to its last heartbeat.
@@ -253,7 +259,7 @@
 	}
 	if view.Settled && c.isStable(obs, claimed, partitioned) && now-obs.lastAnsweredPoll <= maxPollAge &&
 		(!partitioned || obs.lastAnsweredPoll >= c.turnStart(now, view, engine)) {
-		fence := max(newFence(obs, view.WallClock), claim.Fence+1)
+		fence := max(newFence(obs, view), claim.Fence+1)
 		c.owned[engine] = &ownership{fence: fence, lastOrder: now, confirmed: !partitioned}
 		delete(c.observations, engine)
 		d.Claim = append(d.Claim, engine)
@@ -397,11 +403,13 @@
 }
 
 // newFence returns a fencing token that is higher than those of earlier owners, also where no VM remembers them: it follows from
-// what the engine itself reports, its start time and order count, and from its age.
-func newFence(obs *observation, wallClock time.Duration) int64 {
-	const maxAge = 1<<fenceAgeBits - 1
-	age := wallClock.Milliseconds()/1000 - obs.startedAtMs/1000
-	return (obs.startedAtMs/fenceUnitMs+obs.orderCount)<<fenceAgeBits | min(max(age, 0), maxAge)
+// what the engine itself reports, its start time and order count, and from its age. Its last bits tell owners apart.
+func newFence(obs *observation, view FleetView) int64 {
+	const maxAge, ownerMask = 1<<fenceAgeBits - 1, 1<<fenceOwnerBits - 1
+	age := (view.WallClock - time.Duration(obs.startedAtMs)*time.Millisecond) / fenceAgeUnit
+	start := max(obs.startedAtMs-fenceEpochMs, 0) / fenceUnitMs
+	fence := (start+obs.orderCount)<<fenceAgeBits | min(max(int64(age), 0), maxAge)
+	return fence<<fenceOwnerBits | int64(ranker.Weight("fence", view.Self)&ownerMask)
 }
 
 // Fresh reports whether the last tick is recent enough for the ownerships to be valid.
--- a/zone/claimer/claimer_test.go
+++ b/zone/claimer/claimer_test.go
@@ -480,3 +480,24 @@
 		}
 	}
 }
+
+// Two VMs claim an engine at the same order count within a second. Their orders must bear different fences, whoever is right.
+func TestFencesOfTwoOwnersDiffer(t *testing.T) {
+	const startedAtMs, vms = 1_780_000_000_000, 12
+	seen := map[int64]string{}
+	for n := range vms {
+		c := claimer.Claimer{Lease: lease}
+		id := fmt.Sprintf("10.1.0.%d", 30+n)
+		for now := time.Duration(0); now < 5*time.Second; now += 100 * time.Millisecond {
+			view := claimer.FleetView{Self: id, Settled: true, Engines: []string{"engine_0"}, WallClock: startedAtMs*time.Millisecond + 30*time.Second}
+			for _, e := range c.Tick(now, view).Poll {
+				c.RecordOrderCount(now, e, startedAtMs, 7)
+			}
+		}
+		fence, claimed := c.Ownership("engine_0")
+		if other := seen[fence]; !claimed || other != "" {
+			t.Errorf("%s: claimed %v with fence %d, as %s did", id, claimed, fence, other)
+		}
+		seen[fence] = id
+	}
+}
--- a/zone/membership/membership.go
+++ b/zone/membership/membership.go
@@ -80,7 +80,9 @@
 
 type peer struct {
 	Peer
-	heartbeatNumber uint64
+	// heardIncarnation and heartbeatNumber are those of the last heartbeat received here; reports may name a later incarnation.
+	heardIncarnation string
+	heartbeatNumber  uint64
 	// heardSince is when the first of its heartbeats without a gap was received.
 	heardSince time.Duration
 	// lastWanted is when its last heartbeat was received that wants an answer.
@@ -109,20 +111,19 @@
 		m.mergeReport(now, r)
 	}
 	p, _ := m.peer(now, s.VM.ID)
-	heardBefore := p.EverHeard && p.Incarnation == s.Incarnation
-	if heardBefore && s.HeartbeatNumber < p.heartbeatNumber {
+	isNew := !p.EverHeard || p.heardIncarnation != s.Incarnation
+	if !isNew && s.HeartbeatNumber < p.heartbeatNumber {
 		return false
 	}
 	m.recordClaims(now, s)
-	m.endClaims(s, heardBefore)
-	isNew := p.Incarnation != s.Incarnation
+	m.endClaims(s, !isNew)
 	p.update(now, fuchsiaspoke.ReportedPeer{
 		VM: s.VM, Incarnation: s.Incarnation, Ready: s.Ready, Draining: s.Draining, Hub: s.Hub,
 	})
 	if isNew || !m.heard(now, p) {
 		p.heardSince = now
 	}
-	p.heartbeatNumber, p.LastHeard, p.EverHeard = s.HeartbeatNumber, now, true
+	p.heardIncarnation, p.heartbeatNumber, p.LastHeard, p.EverHeard = s.Incarnation, s.HeartbeatNumber, now, true
 	if s.WantsAnswer {
 		p.lastWanted = now
 	}
@@ -264,7 +265,8 @@
 }
 
 func (m *Membership) reachable(now time.Duration, p *peer) bool {
-	return m.heard(now, p) || !p.silent && now-p.LastHeartbeat <= m.relayTimeout() && p.LastHeartbeat > p.LastHeard
+	reportIsNewer := !p.EverHeard || p.LastHeartbeat > p.LastHeard
+	return m.heard(now, p) || !p.silent && reportIsNewer && now-p.LastHeartbeat <= m.relayTimeout()
 }
 
 // relayTimeout returns the age beyond which a report that a VM is alive is out of date.
--- a/zone/membership/membership_test.go
+++ b/zone/membership/membership_test.go
@@ -154,3 +154,42 @@
 	}
 	t.Error("a VM that is heard is not reported, as another VM heard it too")
 }
+
+// A VM restarts, and another VM reports the new incarnation before its first heartbeat arrives here (ONE on hunt-1484-3 of
+// tfsvsa-roster: two VMs claimed one engine, as the claim of the restarted one was dropped).
+func TestHeartbeatsOfRestartedVMCountAfterReportOfIt(t *testing.T) {
+	var m membership.Membership
+	m.Observe(0, state(2, 50, "engine_1"))
+	s := state(1, 1)
+	s.Peers = []fuchsiaspoke.ReportedPeer{report(0)}
+	s.Peers[0].Incarnation = "second"
+	m.Observe(time.Second, s)
+	restarted := state(2, 1, "engine_2")
+	restarted.Incarnation = "second"
+	if !m.Observe(1100*time.Millisecond, restarted) {
+		t.Error("the new incarnation does not count as new")
+	}
+	claims := m.Claims()
+	if claims["engine_2"].VM != "vm_2" {
+		t.Error("the claim of the restarted VM was dropped")
+	}
+	if !claims["engine_1"].Ended {
+		t.Error("the claim of the former incarnation did not end")
+	}
+	for _, p := range m.Peers(1200 * time.Millisecond) {
+		if p.VM.ID == "vm_2" && p.LastHeard != 1100*time.Millisecond {
+			t.Errorf("the restarted VM was last heard at %v, want 1.1 s", p.LastHeard)
+		}
+	}
+}
+
+// A VM that has just started learns of another that was heard before its own start.
+func TestVMReportedRightAfterTheStartIsReachable(t *testing.T) {
+	var m membership.Membership
+	s := state(1, 1)
+	s.Peers = []fuchsiaspoke.ReportedPeer{report(100 * time.Millisecond)}
+	m.Observe(20*time.Millisecond, s)
+	if !reachable(&m, 30*time.Millisecond) {
+		t.Error("a VM that another hears is not reachable")
+	}
+}
