Log and count how the bodies of replicas' responses end

The lines 'stream complete' and 'replica answered' name the framing, 'stream complete' the bytes after the last whole event; 'response incomplete' and fuchsiaspoke_response_bodies_total (framing, end) are new. What is sent to callers is as before.

--- a/metrics/meter/meter.go
+++ b/metrics/meter/meter.go
@@ -23,6 +23,8 @@
 	upstreamLabel  = attribute.Key("upstream")
 	codeLabel      = attribute.Key("code")
 	invariantLabel = attribute.Key("invariant")
+	framingLabel   = attribute.Key("framing")
+	endLabel       = attribute.Key("end")
 )
 
 var (
@@ -45,6 +47,7 @@
 	requestSeconds         metric.Float64Histogram
 	firstEventSeconds      metric.Float64Histogram
 	predictionErrorSeconds metric.Float64Histogram
+	bodyEnds               metric.Int64Counter
 }
 
 // LoadStall records how long a request waited for its adapter to be loaded on an upstream.
@@ -109,6 +112,13 @@
 	m.predictionErrorSeconds.Record(context.Background(), (actual - predicted).Abs().Seconds())
 }
 
+// BodyEnd counts the body of a replica's response, by its framing and by how it ended.
+func (m *Meter) BodyEnd(framing fuchsiaspoke.Framing, end fuchsiaspoke.BodyEnd) {
+	m.initOnce.Do(m.initialize)
+	labels := metric.WithAttributes(framingLabel.String(string(framing)), endLabel.String(string(end)))
+	m.bodyEnds.Add(context.Background(), 1, labels)
+}
+
 // Handler returns the HTTP handler that Prometheus scrapes; it answers 500 if a metric could not be set up.
 func (m *Meter) Handler() http.Handler {
 	m.initOnce.Do(m.initialize)
@@ -145,6 +155,7 @@
 	m.refusals = m.counter(otelMeter, "fuchsiaspoke.refusals", "Refusals by code and client account.")
 	m.duplicateCalls = m.counter(otelMeter, "fuchsiaspoke.duplicates", "Repeated calls that were not run again.")
 	m.unknownOutcomes = m.counter(otelMeter, "fuchsiaspoke.unknown_outcomes", "Calls of which nobody knows whether they ran.")
+	m.bodyEnds = m.counter(otelMeter, "fuchsiaspoke.response_bodies", "Bodies of replicas' responses by framing and by how they ended.")
 	m.violations = m.counter(otelMeter, "fuchsiaspoke.invariant_violations", "Violations of invariants.")
 }
 
--- a/upstream/transport/response.go
+++ b/upstream/transport/response.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
 )
 
 // Response is a replica's response to one message. Read it to io.EOF and close it, so that its connection can be reused.
@@ -33,6 +35,17 @@
 	return n, err
 }
 
+// Framing returns how the response tells where its body ends.
+func (r *Response) Framing() fuchsiaspoke.Framing {
+	switch {
+	case r.response.ContentLength >= 0 || r.response.Body == http.NoBody:
+		return fuchsiaspoke.FramedByLength
+	case len(r.response.TransferEncoding) > 0:
+		return fuchsiaspoke.FramedByChunks
+	}
+	return fuchsiaspoke.FramedByConnection
+}
+
 // Close ends the exchange. The connection returns to the pool only if ctx was not cancelled and reusable holds; otherwise it is
 // closed.
 func (r *Response) Close() {
@@ -52,7 +65,7 @@
 	if !r.bodyComplete || r.foreignResponseRead || r.response == nil || r.response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
-	if r.response.ContentLength < 0 && len(r.response.TransferEncoding) == 0 {
+	if r.Framing() == fuchsiaspoke.FramedByConnection {
 		return false
 	}
 	select {
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -85,6 +85,8 @@
 	Log        func(event string, keysAndValues ...any)
 	// Observe records the predicted and the measured time to the first event of a generation.
 	Observe func(predicted, measured time.Duration)
+	// ObserveBodyEnd records how the body of each replica's response ended.
+	ObserveBodyEnd func(fuchsiaspoke.Framing, fuchsiaspoke.BodyEnd)
 
 	timer          timer.Timer
 	incarnation    string
@@ -203,6 +205,7 @@
 	e.sender = &sender.Sender{
 		Published: e.watcher.Published, Transport: &e.transport, Protocol: e.Platform.Replicas, Requester: e.requester,
 		Finder: e.finder, Tracker: &e.tracker, RetryBudget: &e.retryLimiters, Clock: e.timer.Now, Log: e.Log, Observe: e.Observe,
+		ObserveBodyEnd: e.ObserveBodyEnd,
 		TimeUntilOwned: e.timeUntilOwned,
 	}
 	return nil
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -305,16 +305,19 @@
 	switch {
 	case err == nil:
 		t.Tracker.RecordEnd(r.ID)
+		t.recordBodyEnd(r, response.Framing(), relay.bodyEnd(err))
 		t.Log("stream complete", "request", t.request.ID, "engine", r.ID, "last_event", relay.lastEventID,
 			"took_ms", (t.Clock() - started).Milliseconds(), "wait_ms", (started - t.request.Arrived).Milliseconds(),
 			"first_ms", firstEventTime.Milliseconds(), "predicted_ms", admission.Wait.Milliseconds(),
 			"longest_pause_ms", relay.longestPause.Milliseconds(),
-			"objective_ms", t.request.Route.Objective.Milliseconds(), "prompt_tokens", t.request.Demand.PromptTokens)
+			"objective_ms", t.request.Route.Objective.Milliseconds(), "prompt_tokens", t.request.Demand.PromptTokens,
+			"framing", string(response.Framing()), "unfinished_bytes", relay.unfinishedBytes)
 		return outcome{done: true}
 	case errors.Is(err, ErrCallerDisconnected) || t.callerCtx.Err() != nil:
 		t.Tracker.RecordEnd(r.ID)
 		return outcome{done: true, err: ErrCallerDisconnected}
 	}
+	t.recordBodyEnd(r, response.Framing(), relay.bodyEnd(err))
 	t.recordSendFailure(r, started, &fuchsiaspoke.SendError{Peer: r.Address, Step: "read stream", Cause: err})
 	return outcome{err: err}
 }
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
 	"github.com/pkg/errors"
 )
@@ -27,11 +28,13 @@
 	// lastSent is the time of the last write of events to the caller, and longestPause the longest time between two writes.
 	lastSent     time.Time
 	longestPause time.Duration
+	// unfinishedBytes is the number of bytes after the last complete event at the end of the latest attempt's body.
+	unfinishedBytes int
 }
 
 // relayEvents relays the events of one attempt, and calls onData after each read that returns data.
 func (r *streamRelay) relayEvents(response *transport.Response, onData func()) error {
-	r.pending = r.pending[:0]
+	r.pending, r.unfinishedBytes = r.pending[:0], 0
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Read(buffer)
@@ -43,6 +46,7 @@
 			}
 		}
 		if err == io.EOF {
+			r.unfinishedBytes = len(r.pending)
 			return r.finishStream(response)
 		}
 		if err != nil {
@@ -104,6 +108,17 @@
 	return nil
 }
 
+// bodyEnd returns how the body of the latest attempt ended, whose relayEvents returned err.
+func (r *streamRelay) bodyEnd(err error) fuchsiaspoke.BodyEnd {
+	switch {
+	case r.unfinishedBytes > 0:
+		return fuchsiaspoke.BodyEndedInsideEvent
+	case err != nil:
+		return fuchsiaspoke.BodyReadFailed
+	}
+	return fuchsiaspoke.BodyComplete
+}
+
 // lastID returns the ID of the last event that has one.
 func lastID(events []byte) string {
 	id := ""
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -82,6 +82,8 @@
 	Log         func(event string, keysAndValues ...any)
 	// Observe records the predicted and the measured time to the first event of a generation.
 	Observe func(predicted, measured time.Duration)
+	// ObserveBodyEnd records how the body of each replica's response ended.
+	ObserveBodyEnd func(fuchsiaspoke.Framing, fuchsiaspoke.BodyEnd)
 	// TimeUntilOwned estimates how long it takes until engines have owners, such as after a start of all VMs; 0 is now.
 	TimeUntilOwned func() time.Duration
 }
@@ -293,10 +295,12 @@
 	}
 	if err != nil {
 		t.sendCount++
+		t.recordBodyEnd(r, response.Framing(), fuchsiaspoke.BodyReadFailed)
 		err = &fuchsiaspoke.SendError{Peer: r.Address, Step: "read response", Cause: err}
 		t.recordSendFailure(r, started, err)
 		return nil, err
 	}
+	t.recordBodyEnd(r, response.Framing(), fuchsiaspoke.BodyComplete)
 	if !info.Misdirected {
 		t.sendCount++
 	}
@@ -304,7 +308,7 @@
 	t.Tracker.RecordAnswer(t.Clock(), r.ID, t.Clock()-started, failed)
 	t.executed = t.executed || !info.NotRun
 	t.Log("replica answered", "request", t.request.ID, "replica", r.ID, "status", response.Status, "not_run", info.NotRun,
-		"took_ms", (t.Clock() - started).Milliseconds())
+		"took_ms", (t.Clock() - started).Milliseconds(), "framing", string(response.Framing()))
 	return &reply{response.Status, response.Header, body, info.NotRun, failed}, nil
 }
 
@@ -329,6 +333,14 @@
 		"caller_left", t.callerCtx.Err() != nil, "took_ms", (t.Clock() - started).Milliseconds(), "error", err.Error())
 }
 
+// recordBodyEnd counts how a body ended, and logs one that is incomplete.
+func (t *requestTask) recordBodyEnd(r fuchsiaspoke.Replica, framing fuchsiaspoke.Framing, end fuchsiaspoke.BodyEnd) {
+	t.ObserveBodyEnd(framing, end)
+	if end != fuchsiaspoke.BodyComplete {
+		t.Log("response incomplete", "request", t.request.ID, "replica", r.ID, "framing", string(framing), "end", string(end))
+	}
+}
+
 // send sends the request once and returns the head of the response.
 func (t *requestTask) send(ctx context.Context, send fuchsiaspoke.SendOptions) (*transport.Response, error) {
 	m := t.Protocol.PrepareMessage(t.message, t.request, send)
