A stream that ends inside an event has been broken off, however it is framed

Cause: the end of an engine's body was taken for the end of its stream. A response with neither a length nor chunks ends with its connection, and the connection of a process that died is closed like that of one that has finished. The bytes of the begun event were sent on and our own frame closed; only resumable streams looked at them. Class: the end of a transport taken for the end of a message.

Ruled out: an abort of ours that looks complete (no 'stream cut' on any failed request; those with a reset arrive as cut).

Change: eventsplitter finds the ends of events, with each line end that event streams allow and across reads; bytes that remain at the end of an event stream are an error of the attempt, which is resumed where the route allows it and cut otherwise. The begun event isn't sent.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -30,7 +30,7 @@
 // serveGeneration serves a request for a model: it obtains an admission to an engine and relays the stream, and repeats both at
 // another engine where a failed attempt may be retried.
 func (t *requestTask) serveGeneration(ctx context.Context) error {
-	relay := &streamRelay{out: t.out, lastEventID: t.request.LastEvent, resumable: t.request.Route.Resumable}
+	relay := &streamRelay{out: t.out, lastEventID: t.request.LastEvent}
 	for range maxAdmissionsPerRequest {
 		admission, replica, refusal := t.acquireAdmission(ctx)
 		if t.callerCtx.Err() != nil {
@@ -305,19 +305,19 @@
 	switch {
 	case err == nil:
 		t.Tracker.RecordEnd(r.ID)
-		t.recordBodyEnd(r, response.Framing(), relay.bodyEnd(err))
+		t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
 		t.Log("stream complete", "request", t.request.ID, "engine", r.ID, "last_event", relay.lastEventID,
 			"took_ms", (t.Clock() - started).Milliseconds(), "wait_ms", (started - t.request.Arrived).Milliseconds(),
 			"first_ms", firstEventTime.Milliseconds(), "predicted_ms", admission.Wait.Milliseconds(),
 			"longest_pause_ms", relay.longestPause.Milliseconds(),
 			"objective_ms", t.request.Route.Objective.Milliseconds(), "prompt_tokens", t.request.Demand.PromptTokens,
-			"framing", string(response.Framing()), "unfinished_bytes", relay.unfinishedBytes)
+			"framing", string(response.Framing()))
 		return outcome{done: true}
 	case errors.Is(err, ErrCallerDisconnected) || t.callerCtx.Err() != nil:
 		t.Tracker.RecordEnd(r.ID)
 		return outcome{done: true, err: ErrCallerDisconnected}
 	}
-	t.recordBodyEnd(r, response.Framing(), relay.bodyEnd(err))
+	t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
 	t.recordSendFailure(r, started, &fuchsiaspoke.SendError{Peer: r.Address, Step: "read stream", Cause: err})
 	return outcome{err: err}
 }
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/eventsplitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
 	"github.com/pkg/errors"
 )
@@ -17,42 +19,41 @@
 	maxEventBytes = 1 << 20
 )
 
+// errEndedInsideEvent is the error of a stream whose last event is incomplete. Its replica broke off, however the response is framed:
+// the connection of a process that died ends like that of a response without a length.
+var errEndedInsideEvent = errors.New("stream ended inside an event")
+
 // streamRelay relays complete events to the caller, over one attempt or several consecutive ones.
 type streamRelay struct {
-	out       responseWriter
-	resumable bool
-	headSent  bool
+	out      responseWriter
+	headSent bool
 	// lastEventID is the ID of the last event that was sent to the caller.
 	lastEventID string
-	pending     []byte
+	splitter    eventsplitter.Splitter
 	// lastSent is the time of the last write of events to the caller, and longestPause the longest time between two writes.
 	lastSent     time.Time
 	longestPause time.Duration
-	// unfinishedBytes is the number of bytes after the last complete event at the end of the latest attempt's body.
-	unfinishedBytes int
 }
 
 // relayEvents relays the events of one attempt, and calls onData after each read that returns data.
 func (r *streamRelay) relayEvents(response *transport.Response, onData func()) error {
-	r.pending, r.unfinishedBytes = r.pending[:0], 0
+	r.splitter = eventsplitter.Splitter{}
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Read(buffer)
 		if n > 0 {
 			onData()
-			r.pending = append(r.pending, buffer[:n]...)
-			if sendErr := r.flushEvents(response); sendErr != nil {
+			if sendErr := r.sendEvents(response, r.splitter.Add(buffer[:n])); sendErr != nil {
 				return sendErr
 			}
 		}
 		if err == io.EOF {
-			r.unfinishedBytes = len(r.pending)
 			return r.finishStream(response)
 		}
 		if err != nil {
 			return errors.Wrap(err, "read stream")
 		}
-		if len(r.pending) > maxEventBytes {
+		if len(r.splitter.Rest()) > maxEventBytes {
 			return errors.New("stream event exceeds the size limit")
 		}
 	}
@@ -66,13 +67,11 @@
 	r.out.Head(http.StatusOK, response.Header, -1)
 }
 
-// flushEvents sends the complete events among the pending bytes.
-func (r *streamRelay) flushEvents(response *transport.Response) error {
-	end := bytes.LastIndex(r.pending, []byte("\n\n"))
-	if end < 0 {
+// sendEvents sends complete events, if there are any.
+func (r *streamRelay) sendEvents(response *transport.Response, events []byte) error {
+	if len(events) == 0 {
 		return nil
 	}
-	events := r.pending[:end+2]
 	r.sendHead(response)
 	if err := r.out.Body(events); err != nil {
 		return ErrCallerDisconnected
@@ -81,7 +80,6 @@
 	if id := lastID(events); id != "" {
 		r.lastEventID = id
 	}
-	r.pending = append(r.pending[:0], r.pending[end+2:]...)
 	return nil
 }
 
@@ -93,25 +91,36 @@
 	r.lastSent = now
 }
 
-// finishStream sends the bytes after the last complete event. In a resumable stream such bytes are an error.
+// finishStream completes an attempt whose body has ended. A body that is no event stream is sent to its last byte.
 func (r *streamRelay) finishStream(response *transport.Response) error {
+	rest := r.splitter.Rest()
+	if len(rest) > 0 && isEventStream(response.Header) {
+		return errEndedInsideEvent
+	}
 	r.sendHead(response)
-	if len(r.pending) == 0 {
+	if len(rest) == 0 {
 		return nil
 	}
-	if r.resumable {
-		return errors.New("stream ended with an incomplete event")
-	}
-	if err := r.out.Body(r.pending); err != nil {
+	if err := r.out.Body(rest); err != nil {
 		return ErrCallerDisconnected
 	}
 	return nil
 }
 
-// bodyEnd returns how the body of the latest attempt ended, whose relayEvents returned err.
-func (r *streamRelay) bodyEnd(err error) fuchsiaspoke.BodyEnd {
+// isEventStream reports whether a response to a streaming request is a stream of events: its Content-Type says so, or there is none.
+func isEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	if contentType == "" {
+		return true
+	}
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
+// bodyEnd returns how a body ended whose reading gave err.
+func bodyEnd(err error) fuchsiaspoke.BodyEnd {
 	switch {
-	case r.unfinishedBytes > 0:
+	case errors.Is(err, errEndedInsideEvent):
 		return fuchsiaspoke.BodyEndedInsideEvent
 	case err != nil:
 		return fuchsiaspoke.BodyReadFailed
@@ -122,10 +131,12 @@
 // lastID returns the ID of the last event that has one.
 func lastID(events []byte) string {
 	id := ""
-	for line := range bytes.Lines(events) {
+	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
 		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 			id = string(bytes.TrimSpace(value))
 		}
 	}
 	return id
 }
+
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
