Relay no response that was read whole only in part

Callers saw status 200 and a length that fitted a part: an event stream of a plain service that ended inside an event, and the first 16 MiB of a longer response, since a limited reader ends like a finished body. Both are now failures of the attempt (502, or another replica where the route allows it).

TestEventStreamOfPlainServiceThatEndsInsideEventIsNotRelayed (status 200, four events, the last incomplete) and TestTooLargeResponseIsNotRelayedInPart (status 200 with bytes) failed before.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -266,7 +266,8 @@
 func (t *requestTask) handleFailure(
 	r fuchsiaspoke.Replica, started time.Duration, info fuchsiaspoke.ResponseInfo, response *transport.Response,
 ) outcome {
-	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes))
+	body, err := readBody(response)
+	t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
 	t.Tracker.RecordAnswer(t.Clock(), r.ID, t.Clock()-started, true)
 	t.Log("engine failed", "request", t.request.ID, "engine", r.ID, "status", response.Status, "usable", info.Forwardable)
 	t.executed = true
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -91,10 +91,11 @@
 	r.lastSent = now
 }
 
-// finishStream completes an attempt whose body has ended. A body that is no event stream is sent to its last byte.
+// finishStream completes an attempt whose body has ended. A body that is no event stream is sent to its last byte; one without a
+// Content-Type is taken for an event stream.
 func (r *streamRelay) finishStream(response *transport.Response) error {
 	rest := r.splitter.Rest()
-	if len(rest) > 0 && isEventStream(response.Header) {
+	if len(rest) > 0 && (isEventStream(response.Header) || response.Header.Get("Content-Type") == "") {
 		return errEndedInsideEvent
 	}
 	r.sendHead(response)
@@ -107,13 +108,9 @@
 	return nil
 }
 
-// isEventStream reports whether a response to a streaming request is a stream of events: its Content-Type says so, or there is none.
+// isEventStream reports whether the Content-Type says that a response is a stream of events.
 func isEventStream(h http.Header) bool {
-	contentType := h.Get("Content-Type")
-	if contentType == "" {
-		return true
-	}
-	mediaType, _, _ := strings.Cut(contentType, ";")
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/eventsplitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/selector"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
@@ -289,18 +290,17 @@
 	}
 	defer response.Close()
 	info := t.Protocol.InterpretHead(t.request, response.Status, response.Header)
-	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes))
+	body, err := readBody(response)
+	t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
 	if err == nil && !info.Forwardable && !info.NotRun {
 		err = errors.New("response lacks the request's attempt ID or the replica's seal")
 	}
 	if err != nil {
 		t.sendCount++
-		t.recordBodyEnd(r, response.Framing(), fuchsiaspoke.BodyReadFailed)
 		err = &fuchsiaspoke.SendError{Peer: r.Address, Step: "read response", Cause: err}
 		t.recordSendFailure(r, started, err)
 		return nil, err
 	}
-	t.recordBodyEnd(r, response.Framing(), fuchsiaspoke.BodyComplete)
 	if !info.Misdirected {
 		t.sendCount++
 	}
@@ -312,6 +312,24 @@
 	return &reply{response.Status, response.Header, body, info.NotRun, failed}, nil
 }
 
+// readBody reads a whole body. It fails if the body is longer than maxResponseBytes, or an event stream that ended inside an event.
+func readBody(response *transport.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxResponseBytes {
+		return nil, errors.Errorf("response body is longer than %d bytes", maxResponseBytes)
+	}
+	if isEventStream(response.Header) {
+		var s eventsplitter.Splitter
+		if s.Add(body); len(s.Rest()) > 0 {
+			return nil, errEndedInsideEvent
+		}
+	}
+	return body, nil
+}
+
 // withAttemptTimeout bounds an attempt that another one may follow.
 func (t *requestTask) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
 	if !t.request.Route.Idempotent || t.sendCount+1 >= t.request.Route.MaxAttempts {
