Abort a stream of the own API that fails after it has begun

The error event is still sent, then the connection is aborted. TestStreamThatFailsIsNotFramedAsComplete failed before (error <nil>).

--- a/vm/listener/listener.go
+++ b/vm/listener/listener.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/aborter"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -174,12 +175,12 @@
 	return c.JSON(http.StatusOK, idempotencyKeyResponse{IdempotencyKey: key})
 }
 
-// writeError writes err as the API's error body, unless the response has already begun.
+// writeError writes err as the API's error body, or aborts a response that has already begun.
 func (l *Listener) writeError(err error, c echo.Context) {
 	refusal := toRefusal(err)
 	l.ObserveRefusal(refusal)
 	if c.Response().Committed {
-		return
+		aborter.Abort(c.Response(), c.Request())
 	}
 	if refusal.RetryAfter > 0 {
 		c.Response().Header().Set(echo.HeaderRetryAfter, retryAfterSeconds(refusal))
--- a/vm/listener/listener_test.go
+++ b/vm/listener/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -143,3 +144,31 @@
 	l.Handler().ServeHTTP(w, r)
 	return w
 }
+
+// brokenAdmitter fails each generation after its first chunk.
+type brokenAdmitter struct{ fakeAdmitter }
+
+func (a *brokenAdmitter) Generate(_ context.Context, g fuchsiaspoke.Generation, sink func(fuchsiaspoke.Chunk) error) error {
+	if err := sink(fuchsiaspoke.Chunk{RequestID: g.RequestID, Text: "welcome ", Tokens: 1}); err != nil {
+		return err
+	}
+	return &fuchsiaspoke.Refusal{Code: fuchsiaspoke.CodeUpstreamFailed, Message: "engine ended", Run: fuchsiaspoke.Ran}
+}
+
+// The caller receives the error event, and no last chunk, so that the response does not look complete to it.
+func TestStreamThatFailsIsNotFramedAsComplete(t *testing.T) {
+	l := newListener(&fakeAdmitter{})
+	l.Admitter = &brokenAdmitter{}
+	server := httptest.NewServer(l.Handler())
+	defer server.Close()
+	response, err := http.Post(server.URL+"/v1/completions", "application/json",
+		strings.NewReader(`{"model":"guide","prompt":"hello","stream":true}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err == nil || !strings.Contains(string(body), "engine ended") {
+		t.Errorf("body %q, error %v, want the error event and an aborted connection", body, err)
+	}
+}
