Follow a store that comes back from a copy: revisions are compared by era and number

Cause: revisions of the store were compared as numbers by the reader, the relay between VMs, the missed revision and the change log.

Change: fuchsiaspoke.Revision (era, number) is what all of them compare; heartbeats and relays carry it under new field numbers, so that a fleet of old and new builds falls back to reading the store. A new era costs a reader one list, also where the new numbers have passed the known one and the watch succeeds. A VM that starts meanwhile takes the newer contract from peers once the store was read without it.

--- a/contract/watcher/apply.go
+++ b/contract/watcher/apply.go
@@ -11,11 +11,9 @@
 func (w *Watcher) applyChanges(list fuchsiaspoke.PublicationList) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	next := *w.Published()
-	next.Replicas = maps.Clone(next.Replicas)
-	next.Versions = maps.Clone(next.Versions)
+	next := w.nextState()
 	for _, p := range list.Items {
-		if p.Revision > next.Revision {
+		if p.Revision.NewerThan(next.Revision) {
 			w.applyPublication(&next, p)
 		}
 	}
@@ -23,6 +21,13 @@
 	w.store(next, list.Revision)
 }
 
+// nextState returns a copy of the published state whose maps may be modified.
+func (w *Watcher) nextState() fuchsiaspoke.PublishedState {
+	next := *w.Published()
+	next.Replicas, next.Versions = maps.Clone(next.Replicas), maps.Clone(next.Versions)
+	return next
+}
+
 // applySnapshot replaces the published state by a full list, unless the list is older than that state. Replicas that the list
 // lacks are removed, unless it was read right after an outage of the platform, when replicas may not be published again yet;
 // those are kept for missingReplicaGrace.
@@ -30,15 +35,26 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next := *w.Published()
-	if list.Revision < next.Revision {
+	if next.Revision.NewerThan(list.Revision) {
 		return
 	}
-	old := next.Replicas
+	old := next
+	w.startEra(list.Revision)
 	next.Replicas = make(map[string]fuchsiaspoke.Replica, len(list.Items))
 	next.Versions = make(map[string]map[string]int64)
 	for _, p := range list.Items {
 		w.applyPublication(&next, p)
 	}
+	w.retainMissing(&next, old.Replicas)
+	if list.Revision.Era > old.Revision.Era {
+		w.keepNewerThanCopy(&next, old)
+	}
+	w.changeLog.reset(list.Revision)
+	w.store(next, list.Revision)
+}
+
+// retainMissing keeps the replicas that next lacks, for missingReplicaGrace, if it was read after an outage of the platform.
+func (w *Watcher) retainMissing(next *fuchsiaspoke.PublishedState, old map[string]fuchsiaspoke.Replica) {
 	now := w.Clock()
 	for name, r := range old {
 		if _, listed := next.Replicas[name]; listed || !w.retainsMissing(now) {
@@ -47,8 +63,6 @@
 		next.Replicas[name] = r
 		w.markMissing(name, now)
 	}
-	w.changeLog.reset(list.Revision)
-	w.store(next, list.Revision)
 }
 
 // retainsMissing reports whether replicas that a full list lacks are kept: in the first list after an outage, and for
@@ -83,11 +97,12 @@
 	w.changeLog.add(p)
 	switch {
 	case p.Fault != nil:
-		w.Log("publication not usable", "name", p.Name, "revision", p.Revision, "error", p.Fault.Error())
+		w.Log("publication not usable", "name", p.Name, "revision", p.Revision.String(), "error", p.Fault.Error())
 		delete(next.Replicas, p.Name)
 	case p.Withdrawn:
-		if _, known := next.Replicas[p.Name]; known {
-			w.Log("replica gone", "replica", p.Name, "revision", p.Revision)
+		if r, known := next.Replicas[p.Name]; known {
+			w.Log("replica gone", "replica", p.Name, "revision", p.Revision.String())
+			w.withdrawals.add(w.Clock(), r.Incarnation())
 		}
 		delete(next.Replicas, p.Name)
 		delete(w.missingSince, p.Name)
@@ -98,7 +113,7 @@
 	case p.Replica != nil:
 		w.applyReplica(next, p)
 	case p.Adapter != nil:
-		w.applyAdapterVersion(next, p)
+		applyAdapterVersion(next, p.Adapter.Model, p.Adapter.Adapter)
 	}
 }
 
@@ -109,23 +124,23 @@
 	}
 	if !known || old.State != p.Replica.State || old.StartedAtMs != p.Replica.StartedAtMs || old.Address != p.Replica.Address {
 		w.Log("replica published", "replica", p.Replica.ID, "state", string(p.Replica.State),
-			"address", p.Replica.Address, "born", p.Replica.StartedAtMs, "revision", p.Revision)
+			"address", p.Replica.Address, "born", p.Replica.StartedAtMs, "revision", p.Revision.String())
 	}
-	next.Replicas[p.Name] = *p.Replica
+	next.Replicas[p.Name] = w.leavers.mark(*p.Replica)
 	delete(w.missingSince, p.Name)
 }
 
 // applyAdapterVersion records an announced adapter version; the newest version announced is kept.
-func (w *Watcher) applyAdapterVersion(next *fuchsiaspoke.PublishedState, p fuchsiaspoke.Publication) {
+func applyAdapterVersion(next *fuchsiaspoke.PublishedState, model string, a fuchsiaspoke.Adapter) {
 	if next.Versions == nil {
 		next.Versions = make(map[string]map[string]int64)
 	}
-	versions := maps.Clone(next.Versions[p.Adapter.Model])
+	versions := maps.Clone(next.Versions[model])
 	if versions == nil {
 		versions = make(map[string]int64)
 	}
-	versions[p.Adapter.Adapter.Name] = max(versions[p.Adapter.Adapter.Name], p.Adapter.Adapter.Version)
-	next.Versions[p.Adapter.Model] = versions
+	versions[a.Name] = max(versions[a.Name], a.Version)
+	next.Versions[model] = versions
 }
 
 // applyContract puts a contract in force if it is newer than the current one, and reports whether it did. The version in
@@ -139,8 +154,10 @@
 }
 
 // store puts next in force, as read from the platform now.
-func (w *Watcher) store(next fuchsiaspoke.PublishedState, revision int64) {
-	next.Revision = max(next.Revision, revision)
+func (w *Watcher) store(next fuchsiaspoke.PublishedState, revision fuchsiaspoke.Revision) {
+	if revision.NewerThan(next.Revision) {
+		next.Revision = revision
+	}
 	next.ReadAt = w.Clock()
 	w.state.Store(&next)
 }
--- /dev/null
+++ b/contract/watcher/era_test.go
@@ -0,0 +1,179 @@
+package watcher_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/watcher"
+)
+
+// platformCopy is what a platform held at one time.
+type platformCopy struct {
+	revision int64
+	items    map[string]fuchsiaspoke.Publication
+}
+
+func (p *fakePlatform) copied() platformCopy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return platformCopy{p.revision, maps.Clone(p.items)}
+}
+
+// restore starts a new era with what the platform held at the time of the copy.
+func (p *fakePlatform) restore(c platformCopy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.era++
+	p.revision, p.items, p.events = c.revision, maps.Clone(c.items), nil
+}
+
+func (p *fakePlatform) listCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lists
+}
+
+func withState(id string, s fuchsiaspoke.ReplicaState) fuchsiaspoke.Publication {
+	return fuchsiaspoke.Publication{Name: id, Replica: &fuchsiaspoke.Replica{ID: id, State: s, StartedAtMs: 1}}
+}
+
+func adapterPublication(version int64) fuchsiaspoke.Publication {
+	return fuchsiaspoke.Publication{Name: "adapter", Adapter: &fuchsiaspoke.AdapterVersion{
+		Model: "m", Adapter: fuchsiaspoke.Adapter{Name: "a", Version: version},
+	}}
+}
+
+func stateOf(w *watcher.Watcher, id string) fuchsiaspoke.ReplicaState {
+	return w.Published().Replicas[id].State
+}
+
+// The platform comes back from a copy, so that its revisions are lower than the known one. What is published next has numbers that
+// were given out before.
+func TestChangesAreFollowedAfterPlatformComesBackFromACopy(t *testing.T) {
+	p := &fakePlatform{}
+	p.publish(contractPublication(1))
+	w := startReader(t, p)
+	waitUntil(t, time.Second, "the contract", func() bool { return contractVersion(w) == 1 })
+	for era := range 3 {
+		c := p.copied()
+		for range 5 {
+			p.publish(replicaPublication("lost"))
+		}
+		waitUntil(t, changeLimit, "the replica", func() bool { return w.Published().Revision.Number == c.revision+5 })
+		lists := p.listCount()
+		p.restore(c)
+		id := string(rune('a' + era))
+		p.publish(replicaPublication(id))
+		waitUntil(t, changeLimit, "a replica published in the new era", func() bool { return stateOf(w, id) == fuchsiaspoke.ReplicaReady })
+		if n := p.listCount() - lists; n != 1 {
+			t.Errorf("era %d: %d lists, want 1", era+1, n)
+		}
+	}
+}
+
+// The new era has passed the known number before the platform is read again, so that a watch after this number succeeds.
+func TestEraIsNoticedWhereNumbersOverlap(t *testing.T) {
+	p := &fakePlatform{}
+	p.publish(contractPublication(1))
+	w := startReader(t, p)
+	waitUntil(t, time.Second, "the contract", func() bool { return contractVersion(w) == 1 })
+	c := p.copied()
+	p.publish(replicaPublication("lost"))
+	waitUntil(t, changeLimit, "the replica", func() bool { return len(w.Published().Replicas) == 1 })
+	p.mu.Lock()
+	p.era++
+	p.revision, p.items, p.events = c.revision, maps.Clone(c.items), nil
+	p.mu.Unlock()
+	for _, id := range []string{"a", "b", "c"} {
+		p.publish(replicaPublication(id))
+	}
+	waitUntil(t, changeLimit, "the replicas of the new era", func() bool {
+		r := w.Published().Replicas
+		return slices.Sorted(maps.Keys(r))[0] == "a" && len(r) >= 3
+	})
+}
+
+// An older copy does not undo what was in force: the contract, announced versions, that a replica drains, that one was withdrawn. A
+// replica that the copy lacks stays until it has had time to be published again.
+func TestOlderCopyUndoesNothing(t *testing.T) {
+	p := &fakePlatform{}
+	p.publish(contractPublication(1))
+	p.publish(adapterPublication(3))
+	for _, id := range []string{"stays", "drains", "withdrawn"} {
+		p.publish(withState(id, fuchsiaspoke.ReplicaReady))
+	}
+	w := startReader(t, p)
+	c := p.copied()
+	waitUntil(t, time.Second, "the replicas", func() bool { return len(w.Published().Replicas) == 3 })
+	p.publish(contractPublication(2))
+	p.publish(adapterPublication(4))
+	p.publish(withState("drains", fuchsiaspoke.ReplicaDraining))
+	p.publish(fuchsiaspoke.Publication{Name: "withdrawn", Withdrawn: true})
+	p.publish(withState("lives", fuchsiaspoke.ReplicaReady))
+	p.publish(withState("dies", fuchsiaspoke.ReplicaReady))
+	newest := fuchsiaspoke.Revision{Number: c.revision + 6}
+	waitUntil(t, changeLimit, "the changes", func() bool { return w.Published().Revision == newest })
+	p.restore(c)
+	waitUntil(t, changeLimit, "the new era", func() bool { return w.Published().Revision.Era == 1 })
+	s := w.Published()
+	if s.Contract.Version != 2 || s.AdapterVersion("m", "a") != 4 {
+		t.Errorf("contract %d, adapter version %d, want 2 and 4", s.Contract.Version, s.AdapterVersion("m", "a"))
+	}
+	for id, want := range map[string]fuchsiaspoke.ReplicaState{
+		"stays": fuchsiaspoke.ReplicaReady, "drains": fuchsiaspoke.ReplicaDraining, "withdrawn": "",
+		"lives": fuchsiaspoke.ReplicaReady, "dies": fuchsiaspoke.ReplicaReady,
+	} {
+		if got := stateOf(w, id); got != want {
+			t.Errorf("replica %q has state %q, want %q", id, got, want)
+		}
+	}
+	p.publish(withState("lives", fuchsiaspoke.ReplicaReady))
+	waitUntil(t, 4*time.Second, "the end of the replica that is not published again", func() bool { return stateOf(w, "dies") == "" })
+	if stateOf(w, "lives") != fuchsiaspoke.ReplicaReady || stateOf(w, "drains") != fuchsiaspoke.ReplicaDraining {
+		t.Errorf("states %q and %q, want ready and draining", stateOf(w, "lives"), stateOf(w, "drains"))
+	}
+}
+
+// A VM that hears of the new era from a peer takes its state over, although its numbers are lower; a peer of an older era is ignored.
+func TestRelayOfNewerEraReplacesHigherNumbers(t *testing.T) {
+	relay := func(era, number int64, id string) fuchsiaspoke.PublicationRelay {
+		return fuchsiaspoke.PublicationRelay{
+			Revision: fuchsiaspoke.Revision{Era: era, Number: number}, Whole: true,
+			Replicas: map[string]fuchsiaspoke.Replica{id: {ID: id, State: fuchsiaspoke.ReplicaReady}},
+		}
+	}
+	now := time.Second
+	w := &watcher.Watcher{Platform: &fakePlatform{}, Clock: func() time.Duration { return now }, Log: func(string, ...any) {}}
+	c := &fuchsiaspoke.Contract{Version: 1}
+	w.ApplyRelay(c, relay(1, 900, "old"), "peer")
+	w.ApplyRelay(nil, relay(2, 60, "new"), "peer")
+	if got := w.Published().Revision; got != (fuchsiaspoke.Revision{Era: 2, Number: 60}) || stateOf(w, "new") == "" {
+		t.Errorf("revision %s, want 2.60 with its replica", got)
+	}
+	w.ApplyRelay(nil, relay(1, 950, "late"), "peer")
+	w.ConfirmRevision(fuchsiaspoke.Revision{Era: 1, Number: 60}, 0)
+	if got := w.Published().Revision; got.Era != 2 || stateOf(w, "late") != "" {
+		t.Errorf("revision %s after a relay of an older era, want 2.60", got)
+	}
+}
+
+// A VM that starts after the platform came back from a copy finds an older contract there than its peers have.
+func TestPlatformLacksContractThatPeersHave(t *testing.T) {
+	p := &fakePlatform{}
+	p.publish(contractPublication(1))
+	w := startReader(t, p)
+	waitUntil(t, time.Second, "the contract", func() bool { return contractVersion(w) == 1 })
+	if w.PlatformLacksContract() {
+		t.Error("the platform lacks a contract although no peer has a newer one")
+	}
+	w.ObservePeerContract(2)
+	waitUntil(t, changeLimit, "that the platform lacks the contract", w.PlatformLacksContract)
+	p.publish(contractPublication(2))
+	waitUntil(t, changeLimit, "the contract", func() bool { return contractVersion(w) == 2 })
+	if w.PlatformLacksContract() {
+		t.Error("the platform lacks the contract that was read from it")
+	}
+}
--- a/contract/watcher/relay.go
+++ b/contract/watcher/relay.go
@@ -12,7 +12,7 @@
 
 // changeLog holds the latest changes; it has every change after the revision completeAfter.
 type changeLog struct {
-	completeAfter int64
+	completeAfter fuchsiaspoke.Revision
 	entries       []fuchsiaspoke.PublicationChange
 }
 
@@ -29,18 +29,18 @@
 }
 
 // reset drops all entries after a whole state was taken over at a revision; the changes before it are not known.
-func (c *changeLog) reset(revision int64) {
+func (c *changeLog) reset(revision fuchsiaspoke.Revision) {
 	c.completeAfter, c.entries = revision, nil
 }
 
-// since returns the changes after a revision; false means that the log does not hold all of them, or that the revision is 0.
-func (c *changeLog) since(revision int64) ([]fuchsiaspoke.PublicationChange, bool) {
-	if revision < c.completeAfter || revision == 0 {
+// since returns the changes after a revision; false means that the log does not hold all of them, or that the revision is zero.
+func (c *changeLog) since(revision fuchsiaspoke.Revision) ([]fuchsiaspoke.PublicationChange, bool) {
+	if c.completeAfter.NewerThan(revision) || revision == (fuchsiaspoke.Revision{}) {
 		return nil, false
 	}
 	var out []fuchsiaspoke.PublicationChange
 	for _, change := range c.entries {
-		if change.Revision > revision {
+		if change.Revision.NewerThan(revision) {
 			out = append(out, change)
 		}
 	}
@@ -75,7 +75,7 @@
 // ConfirmRevision records that, according to a peer, the revision was still the platform's newest one the given time ago. If the
 // state in force has a contract and is at that revision, it counts as read at that time, and missing replicas whose grace period
 // is over are removed from it.
-func (w *Watcher) ConfirmRevision(revision int64, age time.Duration) {
+func (w *Watcher) ConfirmRevision(revision fuchsiaspoke.Revision, age time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next := *w.Published()
@@ -100,22 +100,22 @@
 		w.Log("contract in force", "version", c.Version, "from", from)
 	}
 	switch {
-	case r.Revision <= next.Revision:
+	case !r.Revision.NewerThan(next.Revision):
 	case next.Contract == nil || next.Contract.Version < r.ContractVersion:
 		w.Log("publications not taken", "from", from, "reason", "they depend on a contract version that this VM does not have",
-			"version", r.ContractVersion, "revision", r.Revision)
+			"version", r.ContractVersion, "revision", r.Revision.String())
 	case r.Whole:
-		next.Replicas, next.Versions = r.Replicas, r.Versions
 		w.changeLog.reset(r.Revision)
 		w.missingSince = make(map[string]time.Duration, len(r.Missing))
 		for name, age := range r.Missing {
 			w.missingSince[name] = w.Clock() - age
 		}
+		w.applyWholeRelay(&next, r)
 		w.recordRelay(&next, r, from)
-	case r.Since <= next.Revision:
+	case !r.Since.NewerThan(next.Revision):
 		next.Replicas, next.Versions = maps.Clone(next.Replicas), maps.Clone(next.Versions)
 		for _, change := range r.Changes {
-			if change.Revision > next.Revision {
+			if change.Revision.NewerThan(next.Revision) {
 				w.applyPublication(&next, change.Publication())
 			}
 		}
@@ -124,9 +124,21 @@
 	w.state.Store(&next)
 }
 
+// applyWholeRelay replaces the replicas and adapter versions by those of a peer.
+func (w *Watcher) applyWholeRelay(next *fuchsiaspoke.PublishedState, r fuchsiaspoke.PublicationRelay) {
+	old := *next
+	next.Replicas, next.Versions = w.leavers.markAll(r.Replicas), r.Versions
+	if r.Revision.Era > old.Revision.Era {
+		w.startEra(r.Revision)
+		next.Replicas, next.Versions = maps.Clone(next.Replicas), maps.Clone(next.Versions)
+		w.retainMissing(next, old.Replicas)
+		w.keepNewerThanCopy(next, old)
+	}
+}
+
 // recordRelay logs an applied relay, and takes over its revision and the time at which the platform was read.
 func (w *Watcher) recordRelay(next *fuchsiaspoke.PublishedState, r fuchsiaspoke.PublicationRelay, from string) {
-	w.Log("publications relayed", "from", from, "revision", r.Revision, "changes", len(r.Changes), "whole", r.Whole,
+	w.Log("publications relayed", "from", from, "revision", r.Revision.String(), "changes", len(r.Changes), "whole", r.Whole,
 		"read_ms_ago", r.Age.Milliseconds())
 	next.Revision = r.Revision
 	next.ReadAt = max(next.ReadAt, w.Clock()-r.Age)
--- a/contract/watcher/relay_test.go
+++ b/contract/watcher/relay_test.go
@@ -24,7 +24,7 @@
 func relayFromPeer(to, from *watcher.Watcher) {
 	known := from.Published()
 	to.ConfirmRevision(known.Revision, 0)
-	if known.Revision > to.Published().Revision {
+	if known.Revision.NewerThan(to.Published().Revision) {
 		to.ApplyRelay(known.Contract, from.ChangesFor(fuchsiaspoke.PublicationQuery{Revision: to.Published().Revision}), "peer")
 	}
 }
@@ -66,12 +66,12 @@
 	waitUntil(t, time.Second, "the contract", func() bool { return contractVersion(w) == 1 })
 	p.publish(contractPublication(2))
 	p.publish(replicaPublication("later"))
-	relay := fuchsiaspoke.PublicationRelay{Revision: 3, Since: 1, ContractVersion: 2, Changes: []fuchsiaspoke.PublicationChange{
-		{Name: "later", Revision: 3, Replica: replicaPublication("later").Replica},
+	relay := fuchsiaspoke.PublicationRelay{Revision: revision(3), Since: revision(1), ContractVersion: 2, Changes: []fuchsiaspoke.PublicationChange{
+		{Name: "later", Revision: revision(3), Replica: replicaPublication("later").Replica},
 	}}
 	w.ApplyRelay(nil, relay, "peer")
-	if w.Published().Revision != 1 {
-		t.Fatalf("revision %d in force, want 1: the relay depends on a contract that is not known yet", w.Published().Revision)
+	if w.Published().Revision != revision(1) {
+		t.Fatalf("revision %s in force, want 1: the relay depends on a contract that is not known yet", w.Published().Revision)
 	}
 	w.ObservePeerContract(2)
 	waitUntil(t, changeLimit/2, "the contract and the replica published after it", func() bool {
@@ -94,7 +94,7 @@
 			w.ConfirmRevision(w.Published().Revision, 0)
 		}
 		p.publish(replicaPublication(fmt.Sprint(n)))
-		w.ObserveMissedRevision(w.Published().Revision + 1)
+		w.ObserveMissedRevision(revision(w.Published().Revision.Number + 1))
 		waitUntil(t, readDeadline, "the replica", func() bool { return len(w.Published().Replicas) == n+1 })
 	}
 }
@@ -134,9 +134,9 @@
 			p.publish(item)
 		}
 		p.mu.Lock()
-		revision := p.revision
+		newest := revision(p.revision)
 		p.mu.Unlock()
-		waitUntil(t, changeLimit, "the changes", func() bool { return w.Published().Revision == revision })
+		waitUntil(t, changeLimit, "the changes", func() bool { return w.Published().Revision == newest })
 		for n, other := range others {
 			if random.IntN(3) < n {
 				continue
--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -62,12 +62,17 @@
 	state     atomic.Pointer[fuchsiaspoke.PublishedState]
 	mu        sync.Mutex
 	changeLog changeLog
-	// newestPeerContract is the newest contract version that a peer has.
-	newestPeerContract atomic.Int64
+	// newestPeerContract is the newest contract version that a peer has, and peerContractAt when this VM heard of it.
+	newestPeerContract int64
+	peerContractAt     time.Duration
+	// lastReadStart is the start of the latest successful call to the platform.
+	lastReadStart time.Duration
 	// newestMissed is the newest revision that a peer has and that could not be fetched from it.
-	newestMissed atomic.Int64
+	newestMissed atomic.Pointer[fuchsiaspoke.Revision]
 	// missingSince holds, by publication name, when a replica that is kept after an outage was first missing from a full list.
 	missingSince map[string]time.Duration
+	withdrawals  withdrawals
+	leavers      leavers
 	// failing is whether the last call to the platform failed; recoveredAt is when the last outage ended.
 	failing     bool
 	recoveredAt time.Duration
@@ -100,7 +105,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		w.recordResult(err)
+		w.recordResult(started, err)
 		if errors.Is(err, fuchsiaspoke.ErrHistoryDiscarded) {
 			relist = true
 			continue
@@ -124,27 +129,45 @@
 
 // ObserveMissedRevision records that a peer has a revision that could not be fetched from it; this VM then reads the platform
 // without waiting for its state to become stale.
-func (w *Watcher) ObserveMissedRevision(revision int64) {
-	storeMax(&w.newestMissed, revision)
+func (w *Watcher) ObserveMissedRevision(revision fuchsiaspoke.Revision) {
+	for known := w.newestMissed.Load(); known == nil || revision.NewerThan(*known); known = w.newestMissed.Load() {
+		if w.newestMissed.CompareAndSwap(known, &revision) {
+			return
+		}
+	}
 }
 
 // isBehindPeers reports whether no contract is known yet, or a peer has a newer contract or a revision that was missed.
 func (w *Watcher) isBehindPeers() bool {
 	p := w.Published()
-	return p.Contract == nil || p.Contract.Version < w.newestPeerContract.Load() || p.Revision < w.newestMissed.Load()
+	missed := w.newestMissed.Load()
+	return w.lacksPeerContract(p) || missed != nil && missed.NewerThan(p.Revision)
 }
 
 // ObservePeerContract records that a peer has a contract version; if it is newer, this VM reads the platform. Contracts are
 // large, so peers send them only while the platform does not respond.
 func (w *Watcher) ObservePeerContract(version int64) {
-	storeMax(&w.newestPeerContract, version)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if version > w.newestPeerContract {
+		w.newestPeerContract, w.peerContractAt = version, w.Clock()
+	}
 }
 
-// storeMax sets the number to n unless it is already higher.
-func storeMax(number *atomic.Int64, n int64) {
-	for known := number.Load(); n > known && !number.CompareAndSwap(known, n); {
-		known = number.Load()
-	}
+// lacksPeerContract reports whether no contract is known yet, or a peer has a newer one.
+func (w *Watcher) lacksPeerContract(p *fuchsiaspoke.PublishedState) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return p.Contract == nil || p.Contract.Version < w.newestPeerContract
+}
+
+// PlatformLacksContract reports whether the platform, read after a peer reported a newer contract, did not have that contract, as
+// when it came back from an older copy.
+func (w *Watcher) PlatformLacksContract() bool {
+	p := w.Published()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return p.Contract != nil && p.Contract.Version < w.newestPeerContract && w.lastReadStart > w.peerContractAt
 }
 
 // Failing reports whether the last call to the platform failed.
@@ -181,25 +204,32 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	revision := w.Published().Revision
-	if revision == 0 || relist {
+	if revision.Number == 0 || relist {
 		list, err := w.Platform.List(ctx)
 		if err == nil {
 			w.applySnapshot(list)
 		}
 		return err
 	}
-	list, err := w.Platform.Watch(ctx, revision, wait)
-	if err == nil {
-		w.applyChanges(list)
+	list, err := w.Platform.Watch(ctx, revision.Number, wait)
+	switch {
+	case err != nil:
+		return err
+	case list.Revision.Era > revision.Era:
+		// The numbers of another era have another meaning: this watch has skipped what the copy changed before the number.
+		return errors.Wrapf(fuchsiaspoke.ErrHistoryDiscarded, "watched after %s, platform is at %s", revision, list.Revision)
+	case list.Revision.Era < revision.Era:
+		return errors.Errorf("platform answered from era %d, known is %d", list.Revision.Era, revision.Era)
 	}
-	return err
+	w.applyChanges(list)
+	return nil
 }
 
-// recordResult records whether a call to the platform failed, and logs the start and the end of an outage. ErrHistoryDiscarded is
+// recordResult records whether a call to the platform that began at started failed, and logs the start and the end of an outage. ErrHistoryDiscarded is
 // only logged and counts neither as a failure nor as a success.
-func (w *Watcher) recordResult(err error) {
+func (w *Watcher) recordResult(started time.Duration, err error) {
 	if errors.Is(err, fuchsiaspoke.ErrHistoryDiscarded) {
-		w.Log("platform discarded its change history; listing all publications again")
+		w.Log("platform discarded its change history; listing all publications again", "reason", err.Error())
 		return
 	}
 	w.mu.Lock()
@@ -208,6 +238,9 @@
 		w.failing = true
 		w.Log("platform lost", "error", err.Error())
 	}
+	if err == nil {
+		w.lastReadStart = started
+	}
 	if err == nil && w.failing {
 		w.failing = false
 		w.recoveredAt = w.Clock()
--- a/contract/watcher/watcher_test.go
+++ b/contract/watcher/watcher_test.go
@@ -15,9 +15,11 @@
 type fakePlatform struct {
 	mu       sync.Mutex
 	revision int64
+	era      int64
 	items    map[string]fuchsiaspoke.Publication
 	events   []fuchsiaspoke.Publication
 	calls    int
+	lists    int
 	// Calls that begin before the time hanging get no response.
 	hanging time.Time
 	// historyGone makes the next watch fail with ErrHistoryDiscarded.
@@ -30,7 +32,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.revision++
-	item.Revision = p.revision
+	item.Revision = fuchsiaspoke.Revision{Era: p.era, Number: p.revision}
 	if p.items == nil {
 		p.items = map[string]fuchsiaspoke.Publication{}
 	}
@@ -62,7 +64,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := fuchsiaspoke.PublicationList{Revision: p.revision}
+	p.lists++
+	list := fuchsiaspoke.PublicationList{Revision: fuchsiaspoke.Revision{Era: p.era, Number: p.revision}}
 	for _, item := range p.items {
 		list.Items = append(list.Items, item)
 	}
@@ -76,14 +79,14 @@
 	end := time.Now().Add(wait)
 	for {
 		p.mu.Lock()
-		if p.historyGone {
+		if p.historyGone || after > p.revision {
 			p.historyGone = false
 			p.mu.Unlock()
 			return fuchsiaspoke.PublicationList{}, fuchsiaspoke.ErrHistoryDiscarded
 		}
-		list := fuchsiaspoke.PublicationList{Revision: p.revision}
+		list := fuchsiaspoke.PublicationList{Revision: fuchsiaspoke.Revision{Era: p.era, Number: p.revision}}
 		for _, e := range p.events {
-			if e.Revision > after {
+			if e.Revision.Number > after {
 				list.Items = append(list.Items, e)
 			}
 		}
@@ -95,6 +98,9 @@
 	}
 }
 
+// revision returns a revision of the first era.
+func revision(number int64) fuchsiaspoke.Revision { return fuchsiaspoke.Revision{Number: number} }
+
 func contractPublication(version int64) fuchsiaspoke.Publication {
 	return fuchsiaspoke.Publication{Name: "contract", Contract: &fuchsiaspoke.Contract{Version: version}}
 }
@@ -191,7 +197,7 @@
 	p := &fakePlatform{down: true}
 	w := startReader(t, p)
 	relay := fuchsiaspoke.PublicationRelay{
-		Revision: 40, Whole: true, Replicas: map[string]fuchsiaspoke.Replica{"r": {ID: "r", State: fuchsiaspoke.ReplicaReady}},
+		Revision: revision(40), Whole: true, Replicas: map[string]fuchsiaspoke.Replica{"r": {ID: "r", State: fuchsiaspoke.ReplicaReady}},
 	}
 	w.ApplyRelay(&fuchsiaspoke.Contract{Version: 7}, relay, "peer")
 	if contractVersion(w) != 7 || len(w.Published().Replicas) != 1 {
--- a/publication.go
+++ b/publication.go
@@ -6,7 +6,7 @@
 type Publication struct {
 	// Name is unique among all publications.
 	Name     string
-	Revision int64
+	Revision Revision
 	// Withdrawn reports that the entry was removed; Contract, Replica and Adapter are then nil.
 	Withdrawn bool
 	Contract  *Contract
@@ -26,7 +26,7 @@
 
 // PublicationList holds all entries at a revision, or those that changed since an earlier revision.
 type PublicationList struct {
-	Revision int64
+	Revision Revision
 	Items    []Publication
 }
 
--- a/published_state.go
+++ b/published_state.go
@@ -13,7 +13,7 @@
 	Versions map[string]map[string]int64
 	// Revision is the platform revision of the copy, and ReadAt the latest time at which it is known to have been current, as
 	// time since the process started.
-	Revision int64
+	Revision Revision
 	ReadAt   time.Duration
 }
 
@@ -35,8 +35,8 @@
 
 // PublicationQuery requests from another VM the publications that are newer than the sender's.
 type PublicationQuery struct {
-	Revision        int64 `cbor:"1,keyasint"`
-	ContractVersion int64 `cbor:"2,keyasint"`
+	Revision        Revision `cbor:"4,keyasint"`
+	ContractVersion int64    `cbor:"2,keyasint"`
 	// Contract also requests a newer contract; it is set if the sender cannot read the contract from the platform.
 	Contract bool `cbor:"3,keyasint,omitempty"`
 }
@@ -54,9 +54,9 @@
 	// Missing maps replicas that the platform did not list after an outage to the time since then; they stay in use for a
 	// limited time, since their publication may only be delayed.
 	Missing  map[string]time.Duration `cbor:"7,keyasint,omitempty"`
-	Since    int64                    `cbor:"8,keyasint,omitempty"`
+	Since    Revision                 `cbor:"12,keyasint,omitempty"`
 	Changes  []PublicationChange      `cbor:"9,keyasint,omitempty"`
-	Revision int64                    `cbor:"4,keyasint"`
+	Revision Revision                 `cbor:"11,keyasint"`
 	// Age is the time since the responder's copy was known to be current.
 	Age time.Duration `cbor:"5,keyasint"`
 }
@@ -64,7 +64,7 @@
 // PublicationChange is a change of a replica or an adapter version; a contract is sent as ContractRaw of the PublicationRelay.
 type PublicationChange struct {
 	Name      string          `cbor:"1,keyasint"`
-	Revision  int64           `cbor:"2,keyasint"`
+	Revision  Revision        `cbor:"6,keyasint"`
 	Withdrawn bool            `cbor:"3,keyasint,omitempty"`
 	Replica   *Replica        `cbor:"4,keyasint,omitempty"`
 	Adapter   *AdapterVersion `cbor:"5,keyasint,omitempty"`
--- a/replica.go
+++ b/replica.go
@@ -40,6 +40,12 @@
 	return ReplicaIncarnation{ID: r.ID, StartedAtMs: r.StartedAtMs}
 }
 
+// WithState returns a copy of the replica in another state.
+func (r Replica) WithState(s ReplicaState) Replica {
+	r.State = s
+	return r
+}
+
 // ReplicaIncarnation identifies one start of a replica.
 type ReplicaIncarnation struct {
 	ID          string `cbor:"1,keyasint"`
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -118,10 +118,10 @@
 	e.watcher.ConfirmRevision(s.Revision, s.ReadAge)
 	e.watcher.ObservePeerContract(s.ContractVersion)
 	newerContract := s.ContractVersion > 0 && (p.Contract == nil || s.ContractVersion > p.Contract.Version)
-	shouldPull := s.Revision > p.Revision && (e.watcher.Stale() || !e.isReader())
+	shouldPull := s.Revision.NewerThan(p.Revision) && (e.watcher.Stale() || !e.isReader())
 	if newerContract {
-		// The contract is read from the platform, and pulled from a peer only if the platform fails.
-		shouldPull = e.watcher.Failing()
+		// The contract is read from the platform, and pulled from a peer only if the platform fails or does not have it.
+		shouldPull = e.watcher.Failing() || e.watcher.PlatformLacksContract()
 	}
 	if shouldPull && e.pullRunning.CompareAndSwap(false, true) {
 		go e.pullPublished(s, newerContract)
@@ -190,7 +190,7 @@
 		return cbor.Unmarshal(raw, &relay)
 	})
 	if err != nil {
-		e.Log("pull of what is published failed", "peer", vm.ID, "revision", s.Revision, "error", err.Error())
+		e.Log("pull of what is published failed", "peer", vm.ID, "revision", s.Revision.String(), "error", err.Error())
 		e.watcher.ObserveMissedRevision(s.Revision)
 		return
 	}
--- a/vm_state.go
+++ b/vm_state.go
@@ -23,7 +23,7 @@
 	// Peers are VMs of which the sender knows, a part of them in each heartbeat.
 	Peers []ReportedPeer `cbor:"10,keyasint,omitempty"`
 	// Revision is the newest platform revision known to the VM.
-	Revision int64 `cbor:"11,keyasint,omitempty"`
+	Revision Revision `cbor:"20,keyasint,omitempty"`
 	// ReadAge is the time since Revision was known to be the platform's newest.
 	ReadAge time.Duration `cbor:"13,keyasint,omitempty"`
 	// Hub reports that the VM exchanges heartbeats with all other hubs and may own engines. Any other VM is a leaf: it exchanges
