Send nothing to replicas that leave or want a pause, by one decision that all senders ask

Change: upstream/permitter answers 'may this VM send to that replica now, and if not, from when'; the sender's own check of readiness is gone, and requests, retries, admissions, orders and report calls ask it. A pause is this VM's alone. A request waits out a pause only where it is served sooner than at any other engine.

--- a/contract/watcher/era.go
+++ b/contract/watcher/era.go
@@ -37,6 +37,7 @@
 		return
 	}
 	w.recoveredAt = w.Clock()
+	w.count("store_era_changed")
 	w.Log("platform came back from a copy", "revision", revision.String(), "known", known.String(),
 		"read_ms_ago", (w.Clock() - w.Published().ReadAt).Milliseconds())
 }
--- a/contract/watcher/leavers.go
+++ b/contract/watcher/leavers.go
@@ -63,6 +63,7 @@
 	if !w.leavers.add(w.Clock(), i, w.Published().Replicas) {
 		return
 	}
+	w.count("replica_leaving")
 	w.Log("replica leaving", "replica", i.ID, "born", i.StartedAtMs, "from", from)
 	next := *w.Published()
 	next.Replicas = w.leavers.markAll(next.Replicas)
--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -58,6 +58,8 @@
 	IsReader func() bool
 	// Log writes an event with alternating keys and values.
 	Log func(event string, keysAndValues ...any)
+	// Count counts an event by its name; nil counts nothing.
+	Count func(event string)
 
 	state     atomic.Pointer[fuchsiaspoke.PublishedState]
 	mu        sync.Mutex
@@ -170,6 +172,12 @@
 	return p.Contract != nil && p.Contract.Version < w.newestPeerContract && w.lastReadStart > w.peerContractAt
 }
 
+func (w *Watcher) count(event string) {
+	if w.Count != nil {
+		w.Count(event)
+	}
+}
+
 // Failing reports whether the last call to the platform failed.
 func (w *Watcher) Failing() bool {
 	w.mu.Lock()
--- a/metrics/meter/meter.go
+++ b/metrics/meter/meter.go
@@ -25,6 +25,7 @@
 	invariantLabel = attribute.Key("invariant")
 	framingLabel   = attribute.Key("framing")
 	endLabel       = attribute.Key("end")
+	eventLabel     = attribute.Key("event")
 )
 
 var (
@@ -48,6 +49,7 @@
 	firstEventSeconds      metric.Float64Histogram
 	predictionErrorSeconds metric.Float64Histogram
 	bodyEnds               metric.Int64Counter
+	events                 metric.Int64Counter
 }
 
 // LoadStall records how long a request waited for its adapter to be loaded on an upstream.
@@ -119,6 +121,12 @@
 	m.bodyEnds.Add(context.Background(), 1, labels)
 }
 
+// Event counts an event that concerns the whole fleet or one replica, by its name.
+func (m *Meter) Event(name string) {
+	m.initOnce.Do(m.initialize)
+	m.events.Add(context.Background(), 1, metric.WithAttributes(eventLabel.String(name)))
+}
+
 // Handler returns the HTTP handler that Prometheus scrapes; it answers 500 if a metric could not be set up.
 func (m *Meter) Handler() http.Handler {
 	m.initOnce.Do(m.initialize)
@@ -156,6 +164,7 @@
 	m.duplicateCalls = m.counter(otelMeter, "fuchsiaspoke.duplicates", "Repeated calls that were not run again.")
 	m.unknownOutcomes = m.counter(otelMeter, "fuchsiaspoke.unknown_outcomes", "Calls of which nobody knows whether they ran.")
 	m.bodyEnds = m.counter(otelMeter, "fuchsiaspoke.response_bodies", "Bodies of replicas' responses by framing and by how they ended.")
+	m.events = m.counter(otelMeter, "fuchsiaspoke.events", "Events of the store and of replicas by name.")
 	m.violations = m.counter(otelMeter, "fuchsiaspoke.invariant_violations", "Violations of invariants.")
 }
 
--- a/send_options.go
+++ b/send_options.go
@@ -21,4 +21,6 @@
 	Misdirected bool
 	// Forwardable reports that the response is the replica's own response to this request and may be forwarded to the caller.
 	Forwardable bool
+	// Notice is what the replica said of itself.
+	Notice ReplicaNotice
 }
--- a/upstream/controller/controller.go
+++ b/upstream/controller/controller.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +29,8 @@
 	// failureBackoff is the wait after an adapter order or a state query that failed, and the retry delay of the requests refused
 	// because the engine does not respond.
 	failureBackoff = 300 * time.Millisecond
+	// moveCost is the time that a request loses at another engine, which has to load its adapter.
+	moveCost = 300 * time.Millisecond
 )
 
 // ErrStopped is the error of a queued admission request whose controller stopped because this VM no longer owns the engine.
@@ -49,6 +53,8 @@
 	Clock func() time.Duration
 	// Owns reports whether this VM still owns the engine; it is called right before each order.
 	Owns func() bool
+	// Pause returns how much longer the engine wants no orders and state queries from this VM.
+	Pause func() time.Duration
 	// OnOrder is called right before each order is sent, since an order without an answer may have been accepted.
 	OnOrder func()
 	// OnForeignOrder is called when the engine's order count shows that another VM sent it orders.
@@ -127,7 +133,7 @@
 	defer c.mu.Unlock()
 	c.init()
 	if c.unresponsive {
-		return 0, unresponsiveRefusal()
+		return 0, c.unresponsiveRefusal()
 	}
 	wait, refusal := c.sched.Enqueue(c.Clock(), req)
 	if refusal == nil && !req.ExceedsMaxWait(wait) {
@@ -216,9 +222,12 @@
 
 // reconcileDelay returns the time until the next load is predicted to complete, at most maxReconcileInterval.
 func (c *Controller) reconcileDelay() time.Duration {
+	wait := maxReconcileInterval
+	if c.Pause() > 0 {
+		return wait
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wait := maxReconcileInterval
 	if readyAt, found := c.sched.NextLoadCheck(); found {
 		wait = min(wait, max(readyAt-c.Clock(), time.Millisecond))
 	}
@@ -226,9 +235,14 @@
 }
 
 // reconcile is one pass of the reconcile loop: it refuses expired requests, queries the engine if its state is unknown, loads the
-// base model if it is missing, polls pending orders, grants the requests that can start, and sends the orders that are due.
+// base model if it is missing, polls pending orders, grants the requests that can start, and sends the orders that are due. While the
+// engine wants a pause from this VM, it only refuses and grants: other VMs may still send the requests.
 func (c *Controller) reconcile(ctx context.Context) {
 	c.refuseExpired()
+	if pause := c.Pause(); pause > 0 {
+		c.reconcilePaused(pause)
+		return
+	}
 	if stateKnown, _ := c.readiness(); !stateKnown && !c.refreshState(ctx) {
 		return
 	}
@@ -246,6 +260,27 @@
 	}
 }
 
+// reconcilePaused grants what needs no order. If the pause is longer than it takes to move a request to another engine, what waits for
+// an order is refused.
+func (c *Controller) reconcilePaused(pause time.Duration) {
+	stateKnown, modelLoaded := c.readiness()
+	if stateKnown && modelLoaded {
+		c.grantReady()
+	}
+	if pause <= moveCost {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiting := c.sched.AwaitingLoad()
+	if !stateKnown || !modelLoaded {
+		waiting = slices.Collect(maps.Keys(c.pending))
+	}
+	for _, id := range waiting {
+		c.deliver(id, decision{refusal: c.refusalUntilResumed("the engine wants a pause from its owner")})
+	}
+}
+
 // readiness reports whether the engine's state is known, and whether the base model is loaded.
 func (c *Controller) readiness() (stateKnown, modelLoaded bool) {
 	c.mu.Lock()
@@ -291,14 +326,19 @@
 // scheduler's queue; Admit cancels them there when it returns. The caller holds mu.
 func (c *Controller) refusePending() {
 	for id := range c.pending {
-		c.deliver(id, decision{refusal: unresponsiveRefusal()})
+		c.deliver(id, decision{refusal: c.unresponsiveRefusal()})
 	}
 }
 
-func unresponsiveRefusal() *fuchsiaspoke.Refusal {
+func (c *Controller) unresponsiveRefusal() *fuchsiaspoke.Refusal {
+	return c.refusalUntilResumed("the last state query to the engine failed")
+}
+
+// refusalUntilResumed returns a refusal until the engine's pause is over, or else for failureBackoff.
+func (c *Controller) refusalUntilResumed(reason string) *fuchsiaspoke.Refusal {
 	return fuchsiaspoke.Refusal{
-		Code: fuchsiaspoke.CodeNoUpstream, Run: fuchsiaspoke.NotRun, Status: 503, Message: "the last state query to the engine failed",
-	}.WithRetryAfter(failureBackoff)
+		Code: fuchsiaspoke.CodeNoUpstream, Run: fuchsiaspoke.NotRun, Status: 503, Message: reason,
+	}.WithRetryAfter(max(c.Pause(), failureBackoff))
 }
 
 // deliver sends the decision to the Admit call that waits for it, if there still is one. The caller holds mu.
--- a/upstream/controller/controller_test.go
+++ b/upstream/controller/controller_test.go
@@ -17,11 +17,30 @@
 	resident     map[string]int64
 	orders       int64
 	unresponsive bool
+	paused       bool
+	calls        int
+}
+
+func (e *fakeEngine) pause() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.paused {
+		return time.Second
+	}
+	return 0
+}
+
+func (e *fakeEngine) setPaused(paused bool) (calls int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.paused = paused
+	return e.calls
 }
 
 func (e *fakeEngine) Report(ctx context.Context, _ fuchsiaspoke.Replica) (fuchsiaspoke.ReplicaReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.calls++
 	if e.unresponsive {
 		return fuchsiaspoke.ReplicaReport{}, errors.New("engine is unresponsive")
 	}
@@ -38,6 +57,7 @@
 func (e *fakeEngine) Order(_ context.Context, _ fuchsiaspoke.Replica, o fuchsiaspoke.EngineOrder) (fuchsiaspoke.OrderResult, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.calls++
 	if e.unresponsive {
 		return fuchsiaspoke.OrderUnknown, errors.New("engine is unresponsive")
 	}
@@ -70,7 +90,8 @@
 		},
 		Clock: func() time.Duration { return time.Since(began) },
 		Owns:  func() bool { return true }, OnOrder: func() {}, OnForeignOrder: func() {},
-		Log: func(string, ...any) {}, LatestVersion: func(string) int64 { return 1 },
+		Pause: e.pause,
+		Log:   func(string, ...any) {}, LatestVersion: func(string) int64 { return 1 },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := c.Run(ctx)
@@ -169,3 +190,40 @@
 		t.Errorf("the request was queued: engine holds adapters %v", e.resident)
 	}
 }
+
+// While an engine wants a pause from its owner, the owner sends it nothing, but still grants requests for resident adapters, which other
+// VMs send. What has to be loaded is loaded after the pause.
+func TestPausedEngineReceivesNoOrders(t *testing.T) {
+	e := &fakeEngine{resident: map[string]int64{"a1": 1}}
+	c := startController(t, e)
+	for !c.View().Accepting {
+		time.Sleep(time.Millisecond)
+	}
+	calls := e.setPaused(true)
+	admit := func(id, adapter string) (granted bool, err error) {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		err = c.Admit(ctx, newRequest(id, adapter), func(reply fuchsiaspoke.AdmissionReply) error {
+			if granted = reply.Granted; granted {
+				cancel()
+			}
+			return nil
+		})
+		return granted, err
+	}
+	if granted, err := admit("r1", "a1"); !granted {
+		t.Errorf("request for a resident adapter: %v, want a grant", err)
+	}
+	began := time.Now()
+	granted, err := admit("r2", "a2")
+	var refusal *fuchsiaspoke.Refusal
+	if granted || !errors.As(err, &refusal) || refusal.RetryAfter < time.Second || time.Since(began) > 300*time.Millisecond {
+		t.Errorf("request that needs an order: granted %v, error %v after %v, want a refusal at once", granted, err, time.Since(began))
+	}
+	if n := e.setPaused(false) - calls; n > 1 {
+		t.Errorf("the engine received %d calls during its pause, want at most the one under way", n)
+	}
+	if granted, err := admit("r3", "a2"); !granted {
+		t.Errorf("after the pause: %v, want a grant", err)
+	}
+}
--- a/upstream/controller/orders.go
+++ b/upstream/controller/orders.go
@@ -104,9 +104,10 @@
 	return false
 }
 
-// sendOrder sends one order. If this VM no longer owns the engine, it sends nothing and returns OrderRefused.
+// sendOrder sends one order. If this VM no longer owns the engine, or the engine wants a pause, it sends nothing and returns
+// OrderRefused.
 func (c *Controller) sendOrder(ctx context.Context, o fuchsiaspoke.EngineOrder) fuchsiaspoke.OrderResult {
-	if !c.Owns() {
+	if !c.Owns() || c.Pause() > 0 {
 		return fuchsiaspoke.OrderRefused
 	}
 	c.OnOrder()
--- a/upstream/scheduler/scheduler.go
+++ b/upstream/scheduler/scheduler.go
@@ -277,6 +277,17 @@
 			s.prefillTime(q.uncachedTokens)+maxPendingPrefill/2)
 }
 
+// AwaitingLoad returns the ids of the queued requests whose adapters are not loaded.
+func (s *Scheduler) AwaitingLoad() []string {
+	var ids []string
+	for _, q := range s.queue {
+		if _, loaded := s.readySlot(q.Demand.Adapter); !loaded {
+			ids = append(ids, q.ID)
+		}
+	}
+	return ids
+}
+
 func (s *Scheduler) prefillTime(tokens int64) time.Duration {
 	return time.Duration(float64(tokens) / s.prefillTokensPerMs * float64(time.Millisecond))
 }
--- a/vm/entry/engines.go
+++ b/vm/entry/engines.go
@@ -131,10 +131,13 @@
 	return slices.ContainsFunc(e.SeedAddresses, func(a string) bool { return a != e.HeartbeatAddress })
 }
 
-// readOrderCount reads how many orders an engine has accepted and passes the count to the claimer.
+// readOrderCount reads how many orders an engine has accepted and passes the count to the claimer, unless the engine wants a pause.
 func (e *Entry) readOrderCount(ctx context.Context, r fuchsiaspoke.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	if !e.permitter.MaySend(r) {
+		return
+	}
 	sentAt := e.timer.Now()
 	report, err := e.Platform.Replicas.Report(ctx, r)
 	if err != nil {
@@ -160,6 +163,7 @@
 		Replica: r, Model: model, Limits: *limits, Engine: e.Platform.Replicas, Owner: e.VM.ID, Fence: fence,
 		Clock: e.timer.Now, Log: e.Log,
 		Owns:           func() bool { return e.ownsEngine(r.ID, fence) },
+		Pause:          func() time.Duration { return e.permitter.Pause(r) },
 		OnOrder:        func() { e.recordOrder(r.ID) },
 		OnForeignOrder: func() { e.releaseToOtherVM(r.ID) },
 		LatestVersion: func(adapter string) int64 {
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/keyring"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/controller"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/finder"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/permitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
@@ -87,6 +88,8 @@
 	Observe func(predicted, measured time.Duration)
 	// ObserveBodyEnd records how the body of each replica's response ended.
 	ObserveBodyEnd func(fuchsiaspoke.Framing, fuchsiaspoke.BodyEnd)
+	// CountEvent counts an event of the fleet by its name.
+	CountEvent func(event string)
 
 	timer          timer.Timer
 	incarnation    string
@@ -95,6 +98,7 @@
 	membership     membership.Membership
 	exchanger      exchanger.Exchanger
 	tracker        tracker.Tracker
+	permitter      *permitter.Permitter
 	transport      transport.Transport
 	requester      *requester.Requester
 	finder         *finder.Finder
@@ -193,7 +197,11 @@
 	e.dialer = &dialer.Dialer{TLS: e.tls, IdleTimeout: linkIdleTimeout}
 	e.watcher = &watcher.Watcher{
 		Platform: e.Platform.Publisher, Clock: e.timer.Now, PropagationLimit: e.Bounds.DrainLimit,
-		IsReader: e.isReader, Log: e.Log,
+		IsReader: e.isReader, Log: e.Log, Count: e.CountEvent,
+	}
+	e.permitter = &permitter.Permitter{
+		Published: e.watcher.Published, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
+		MarkLeaving: func(i fuchsiaspoke.ReplicaIncarnation) { e.watcher.MarkLeaving(i, e.VM.ID) },
 	}
 	e.requester = &requester.Requester{Peers: &e.membership, Dialer: e.dialer, Clock: e.timer.Now, Self: e.VM}
 	e.finder = &finder.Finder{
@@ -204,7 +212,7 @@
 	e.authorizer = &authorizer.Authorizer{Published: e.watcher.Published, RateLimiter: &e.rateLimiter, Clock: e.timer.Now}
 	e.sender = &sender.Sender{
 		Published: e.watcher.Published, Transport: &e.transport, Protocol: e.Platform.Replicas, Requester: e.requester,
-		Finder: e.finder, Tracker: &e.tracker, RetryBudget: &e.retryLimiters, Clock: e.timer.Now, Log: e.Log, Observe: e.Observe,
+		Finder: e.finder, Tracker: &e.tracker, Permitter: e.permitter, RetryBudget: &e.retryLimiters, Clock: e.timer.Now, Log: e.Log, Observe: e.Observe,
 		ObserveBodyEnd: e.ObserveBodyEnd,
 		TimeUntilOwned: e.timeUntilOwned,
 	}
@@ -235,6 +243,11 @@
 	return a
 }
 
+// ObserveNotice records what a replica said of itself in the response to an order or a report call.
+func (e *Entry) ObserveNotice(r fuchsiaspoke.Replica, n fuchsiaspoke.ReplicaNotice) {
+	e.permitter.Observe(r, n)
+}
+
 // Admit admits a caller's request or refuses it.
 func (e *Entry) Admit(r fuchsiaspoke.Request) (fuchsiaspoke.AdmittedRequest, *fuchsiaspoke.Refusal) {
 	return e.authorizer.Admit(r)
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -1,9 +1,11 @@
 package sender
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -24,7 +26,8 @@
 	maxAdmissionsPerRequest = 4
 )
 
-// errReplicaNotReady is returned for an admission to an engine that stopped being ready while the request waited.
+// errReplicaNotReady is returned for an admission to an engine that stopped being ready, or asked for a pause, while the request
+// waited.
 var errReplicaNotReady = errors.New("engine stopped being ready before admission was granted")
 
 // serveGeneration serves a request for a model: it obtains an admission to an engine and relays the stream, and repeats both at
@@ -87,13 +90,19 @@
 	var lastDeclined selector.Choice
 	declinedWait := time.Duration(0)
 	requested, anyOwned := 0, false
-	choices := t.Finder.Find(ctx, t.request.Service, t.request.Demand, t.triedReplicas)
+	choices := t.delayPaused(t.Finder.Find(ctx, t.request.Service, t.request.Demand, t.triedReplicas))
 	for i, choice := range choices {
 		if requested >= maxAdmissionRequests || ctx.Err() != nil {
 			break
 		}
 		anyOwned = anyOwned || choice.Accepting
-		if !choice.Accepting && !t.servableWithoutOwner(choice) || !t.isReady(choice.Replica) {
+		if !choice.Accepting && !t.servableWithoutOwner(choice) {
+			continue
+		}
+		if requested == 0 {
+			t.waitForPause(ctx, choice.Replica)
+		}
+		if !t.Permitter.MaySend(choice.Replica) {
 			continue
 		}
 		requested++
@@ -117,9 +126,39 @@
 	return nil, fuchsiaspoke.Replica{}, t.refuseWithoutAdmission(earliest, anyOwned)
 }
 
+// delayPaused adds to the estimated waits of engines that have asked this VM to pause the rest of their pauses, so that a request moves
+// to another engine only where it is served sooner. If all have asked for one, it returns none: no request waits then.
+func (t *requestTask) delayPaused(choices []selector.Choice) []selector.Choice {
+	anyPermitted := slices.ContainsFunc(choices, func(c selector.Choice) bool { return t.Permitter.MaySend(c.Replica) })
+	if !anyPermitted {
+		return nil
+	}
+	for i, c := range choices {
+		choices[i].EstimatedWait += t.Permitter.Pause(c.Replica)
+	}
+	slices.SortStableFunc(choices, func(a, b selector.Choice) int { return cmp.Compare(a.EstimatedWait, b.EstimatedWait) })
+	return choices
+}
+
+// waitForPause waits until the engine's pause is over or ctx ends.
+func (t *requestTask) waitForPause(ctx context.Context, r fuchsiaspoke.Replica) {
+	pause := t.Permitter.Pause(r)
+	if pause == 0 {
+		return
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // refuseWithoutAdmission returns the refusal for a request that no engine admitted.
 func (t *requestTask) refuseWithoutAdmission(refusal *fuchsiaspoke.Refusal, anyOwned bool) error {
 	switch {
+	case t.Permitter.ResumesIn(t.request.Service) > 0:
+		return t.refuse(http.StatusServiceUnavailable, "all engines want a pause")
 	case refusal != nil && !t.outcomeUnknown && !t.executed:
 		return refusal
 	case !anyOwned:
@@ -129,17 +168,16 @@
 	}
 }
 
-// acquireFromReadyEngine requests admission to one engine, and releases it if the engine stopped being ready during the
-// wait.
+// acquireFromReadyEngine requests admission to one engine, and releases it if the engine may not be sent to any more after the wait.
 func (t *requestTask) acquireFromReadyEngine(
 	ctx context.Context, choice selector.Choice, maxWait time.Duration,
 ) (*requester.Admission, error) {
 	admission, err := t.requestAdmission(ctx, choice, maxWait)
-	if err != nil || t.isReady(choice.Replica) {
+	if err != nil || t.Permitter.MaySend(choice.Replica) {
 		return admission, err
 	}
 	admission.Release()
-	t.Log("admission released", "request", t.request.ID, "engine", choice.Replica.ID, "reason", "engine is no longer ready")
+	t.Log("admission released", "request", t.request.ID, "engine", choice.Replica.ID, "reason", "engine is no longer ready or wants a pause")
 	return nil, errReplicaNotReady
 }
 
@@ -226,7 +264,7 @@
 		return outcome{err: err, notSent: notSent(err), done: t.callerCtx.Err() != nil}
 	}
 	defer response.Close()
-	info := t.Protocol.InterpretHead(t.request, response.Status, response.Header)
+	info := t.interpretHead(r, response)
 	if info.NotRun {
 		return t.handleRefusal(admission, r, info, response)
 	}
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -15,6 +15,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/eventsplitter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/permitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/selector"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
@@ -78,6 +79,7 @@
 	Requester   *requester.Requester
 	Finder      engineFinder
 	Tracker     *tracker.Tracker
+	Permitter   *permitter.Permitter
 	RetryBudget retryBudget
 	Clock       func() time.Duration
 	Log         func(event string, keysAndValues ...any)
@@ -109,23 +111,13 @@
 	return c != nil && c.Services[name].Engine != nil
 }
 
-// untriedReplicas returns the ready replicas of the request's service that were not tried yet.
+// untriedReplicas returns the replicas of the request's service that may be sent to now and were not tried yet.
 func (t *requestTask) untriedReplicas() []fuchsiaspoke.Replica {
-	return slices.DeleteFunc(t.Published().ReadyReplicas(t.request.Service), func(r fuchsiaspoke.Replica) bool {
+	return slices.DeleteFunc(t.Permitter.Ready(t.request.Service), func(r fuchsiaspoke.Replica) bool {
 		return t.triedReplicas[r.ID]
 	})
 }
 
-// isReady reports whether the replica is still published as ready and has neither restarted nor moved.
-func (s *Sender) isReady(r fuchsiaspoke.Replica) bool {
-	for _, current := range s.Published().Replicas {
-		if current.ID == r.ID {
-			return current.State == fuchsiaspoke.ReplicaReady && current.Address == r.Address && current.StartedAtMs == r.StartedAtMs
-		}
-	}
-	return false
-}
-
 // requestTask is one request with the state of its attempts.
 type requestTask struct {
 	*Sender
@@ -242,20 +234,24 @@
 	}
 	return fuchsiaspoke.Refusal{
 		Code: fuchsiaspoke.CodeNoUpstream, Message: reason, Run: fuchsiaspoke.NotRun, Status: status,
-	}.WithRetryAfter(defaultRetryAfter)
+	}.WithRetryAfter(spreadRetryAfter(t.Permitter.ResumesIn(t.request.Service)))
+}
+
+// spreadRetryAfter adds a random part of up to half the wait, so that callers do not retry all at once. The result is at least
+// defaultRetryAfter.
+func spreadRetryAfter(wait time.Duration) time.Duration {
+	return max(wait+time.Duration(rand.Float64()*float64(wait)/2), defaultRetryAfter)
 }
 
-// refuseWithRetryAfter returns the refusal for a request that no VM can serve before wait is over. Retry-After adds a random part
-// of up to half the wait, so that callers do not retry all at once, and is at least defaultRetryAfter. If an earlier attempt may
-// have run the request, the result is the 502 of refuse without a Retry-After.
+// refuseWithRetryAfter returns the refusal for a request that no VM can serve before wait is over. If an earlier attempt may have run
+// the request, the result is the 502 of refuse without a Retry-After.
 func (t *requestTask) refuseWithRetryAfter(wait time.Duration, reason string) error {
 	err := t.refuse(http.StatusServiceUnavailable, reason)
 	var r *fuchsiaspoke.Refusal
 	if !errors.As(err, &r) || r.Run != fuchsiaspoke.NotRun {
 		return err
 	}
-	spread := time.Duration(rand.Float64() * float64(wait) / 2)
-	return r.WithRetryAfter(max(wait+spread, defaultRetryAfter))
+	return r.WithRetryAfter(max(spreadRetryAfter(wait), r.RetryAfter))
 }
 
 func (t *requestTask) writeReply(r *reply) error {
@@ -289,7 +285,7 @@
 		return nil, err
 	}
 	defer response.Close()
-	info := t.Protocol.InterpretHead(t.request, response.Status, response.Header)
+	info := t.interpretHead(r, response)
 	body, err := readBody(response)
 	t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
 	if err == nil && !info.Forwardable && !info.NotRun {
@@ -351,6 +347,13 @@
 		"caller_left", t.callerCtx.Err() != nil, "took_ms", (t.Clock() - started).Milliseconds(), "error", err.Error())
 }
 
+// interpretHead interprets the head of a response, and records what the replica says of itself in it.
+func (t *requestTask) interpretHead(r fuchsiaspoke.Replica, response *transport.Response) fuchsiaspoke.ResponseInfo {
+	info := t.Protocol.InterpretHead(t.request, response.Status, response.Header)
+	t.Permitter.Observe(r, info.Notice)
+	return info
+}
+
 // recordBodyEnd counts how a body ended, and logs one that is incomplete.
 func (t *requestTask) recordBodyEnd(r fuchsiaspoke.Replica, framing fuchsiaspoke.Framing, end fuchsiaspoke.BodyEnd) {
 	t.ObserveBodyEnd(framing, end)
--- a/vm/sender/sender_test.go
+++ b/vm/sender/sender_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/finder"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/permitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
@@ -42,6 +43,13 @@
 	return &finder.Finder{Published: s.Published, Requester: s.Requester, Tracker: s.Tracker, Clock: s.Clock, Log: s.Log}
 }
 
+// newPermitter returns a permitter that knows what the sender knows.
+func newPermitter(s *sender.Sender) *permitter.Permitter {
+	return &permitter.Permitter{
+		Published: s.Published, MarkLeaving: func(fuchsiaspoke.ReplicaIncarnation) {}, Clock: s.Clock, Log: s.Log, Count: func(string) {},
+	}
+}
+
 // After a restart of all VMs no engine has an owner for some seconds. A caller that retries before engines have owners is
 // refused again, and does not retry a second time.
 func TestRetryAfterCoversTimeUntilEnginesAreOwned(t *testing.T) {
@@ -59,7 +67,7 @@
 		Tracker:   &tracker.Tracker{}, RetryBudget: unlimitedBudget{}, Clock: clock, Log: func(string, ...any) {},
 		TimeUntilOwned: func() time.Duration { return ownedIn },
 	}
-	s.Finder = newFinder(s)
+	s.Finder, s.Permitter = newFinder(s), newPermitter(s)
 	req := fuchsiaspoke.AdmittedRequest{
 		ID: "r", Service: "texts", Deadline: 9 * time.Second, Route: fuchsiaspoke.ServiceRoute{Timeout: 8 * time.Second, MaxAttempts: 2},
 		Demand: fuchsiaspoke.Demand{Model: "m", Adapter: "a", PromptTokens: 100},
@@ -114,7 +122,7 @@
 		Log:            func(string, ...any) {},
 		TimeUntilOwned: func() time.Duration { return 0 },
 	}
-	s.Finder = newFinder(s)
+	s.Finder, s.Permitter = newFinder(s), newPermitter(s)
 	req := fuchsiaspoke.AdmittedRequest{
 		ID: "r", Service: "texts", Deadline: 9 * time.Second, Route: fuchsiaspoke.ServiceRoute{Timeout: 8 * time.Second, MaxAttempts: 2},
 		Demand: fuchsiaspoke.Demand{Model: "m", Adapter: "a", PromptTokens: 100},
