--- a/contract/watcher/apply.go
+++ b/contract/watcher/apply.go
@@ -119,14 +119,15 @@
 
 func (w *Watcher) applyReplica(next *fuchsiaspoke.PublishedState, p fuchsiaspoke.Publication) {
 	old, known := next.Replicas[p.Name]
+	r := w.leavers.mark(*p.Replica)
 	if next.Replicas == nil {
 		next.Replicas = make(map[string]fuchsiaspoke.Replica)
 	}
-	if !known || old.State != p.Replica.State || old.StartedAtMs != p.Replica.StartedAtMs || old.Address != p.Replica.Address {
-		w.Log("replica published", "replica", p.Replica.ID, "state", string(p.Replica.State),
-			"address", p.Replica.Address, "born", p.Replica.StartedAtMs, "revision", p.Revision.String())
+	if !known || old.State != r.State || old.StartedAtMs != r.StartedAtMs || old.Address != r.Address {
+		w.Log("replica published", "replica", r.ID, "state", string(r.State), "address", r.Address, "born", r.StartedAtMs,
+			"revision", p.Revision.String())
 	}
-	next.Replicas[p.Name] = w.leavers.mark(*p.Replica)
+	next.Replicas[p.Name] = r
 	delete(w.missingSince, p.Name)
 }
 
--- a/zone/claimer/claimer_test.go
+++ b/zone/claimer/claimer_test.go
@@ -49,6 +49,10 @@
 	partitionsShift bool
 	partitionStart  time.Duration
 	partitionEnd    time.Duration
+	// listRNG draws when VMs miss engines in what is published, as after the platform came back from a copy; nil draws nothing.
+	listRNG *rand.Rand
+	// missingUntil is the time until which a VM misses an engine.
+	missingUntil [numVMs][numEngines]time.Duration
 	// events is the log that a failed run prints.
 	events []string
 }
@@ -111,6 +115,7 @@
 	}
 	for m.now = 0; m.now < runDuration; m.now += timeStep {
 		m.injectFault()
+		m.injectMissingEngine()
 		for n, v := range m.vms {
 			if m.now >= v.pausedUntil && m.now >= v.downUntil && m.now >= v.nextTick {
 				v.nextTick = m.now + 100*time.Millisecond
@@ -165,6 +170,18 @@
 	}
 }
 
+// injectMissingEngine removes an engine from what some of the VMs know as published, for a while that differs from VM to VM.
+func (m *simulation) injectMissingEngine() {
+	if m.listRNG == nil || m.listRNG.IntN(150) != 0 {
+		return
+	}
+	e := m.listRNG.IntN(numEngines)
+	for n := range numVMs {
+		m.missingUntil[n][e] = m.now + time.Duration(max(m.listRNG.IntN(8000)-4000, 0))*time.Millisecond
+	}
+	m.logEvent("%s is missing until %v", engineName(e), m.missingUntil)
+}
+
 // partition divides the fleet. Unless partitionsShift is set, the partition has an end, and starts only after minHealthyTime.
 func (m *simulation) partition(side func(n int) int) {
 	if !m.partitionsShift && m.now < m.partitionEnd+minHealthyTime {
@@ -239,7 +256,9 @@
 		}
 	}
 	for e := range numEngines {
-		view.Engines = append(view.Engines, engineName(e))
+		if m.now >= m.missingUntil[n][e] {
+			view.Engines = append(view.Engines, engineName(e))
+		}
 	}
 	decision := v.claimer.Tick(m.now, view)
 	m.claimCount += len(decision.Claim)
@@ -295,21 +314,29 @@
 
 // VMs pause, restart and are partitioned at random. A second owner must not send an order within the lease of the first.
 func TestNoEngineIsOrderedInTurns(t *testing.T) {
-	runSimulations(t, false)
+	runSimulations(t, false, false)
+}
+
+// Like TestNoEngineIsOrderedInTurns, while VMs differ in which engines they know as published.
+func TestNoEngineIsOrderedInTurnsWhileListsDiffer(t *testing.T) {
+	runSimulations(t, false, true)
 }
 
 // Like TestNoEngineIsOrderedInTurns, but partitions replace each other every few seconds.
 func TestNoEngineIsOrderedInTurnsWhileCutsShift(t *testing.T) {
-	runSimulations(t, true)
+	runSimulations(t, true, false)
 }
 
-func runSimulations(t *testing.T, partitionsShift bool) {
+func runSimulations(t *testing.T, partitionsShift, listsDiffer bool) {
 	orders, claims := 0, 0
 	for n := range *rounds {
 		m := &simulation{
 			t: t, partitionsShift: partitionsShift, rng: rand.New(rand.NewPCG(*seed, uint64(n))),
 			name: fmt.Sprintf("seed %d, round %d", *seed, n),
 		}
+		if listsDiffer {
+			m.listRNG = rand.New(rand.NewPCG(*seed, uint64(1000+n)))
+		}
 		m.run()
 		orders += m.orderCount
 		claims += m.claimCount
