One Sleep in place of six copies

bencher, watcher, the platform and weight store stand-ins, driver, router and relayer each had a function that waits for a time or the end of a context; vm/sender would have got a seventh. timeline/sleeper has it now. Behaviour as before; tests of all these packages pass.

--- a/bench/bencher/bencher.go
+++ b/bench/bencher/bencher.go
@@ -23,6 +23,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/standin/record"
 	"github.com/fuchsiaspoke/fuchsiaspoke/standin/service"
 	"github.com/fuchsiaspoke/fuchsiaspoke/standin/starter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/sleeper"
 	"github.com/pkg/errors"
 )
 
@@ -83,7 +84,7 @@
 	if stopErr := b.stopVMs(); err == nil {
 		err = stopErr
 	}
-	sleep(ctx, time.Until(settledAt))
+	sleeper.Sleep(ctx, time.Until(settledAt))
 	cancel()
 	if waitErr := b.standIns.Wait(); err == nil {
 		err = waitErr
@@ -125,7 +126,7 @@
 // injectFaults applies the scenario's incidents in order, each at its time.
 func (b *Bencher) injectFaults(ctx context.Context, loadStart time.Time) {
 	for _, i := range b.Scenario.Incidents {
-		if !sleep(ctx, time.Until(loadStart.Add(i.At))) {
+		if !sleeper.Sleep(ctx, time.Until(loadStart.Add(i.At))) {
 			return
 		}
 		b.printProgress("injecting fault: target %s, index %d, %+v", i.Target, i.Index, i.Fault)
@@ -149,7 +150,7 @@
 
 func (b *Bencher) reportProgress(ctx context.Context, loadStart time.Time) {
 	total := b.Scenario.Warmup + b.Scenario.Duration
-	for sleep(ctx, progressInterval) {
+	for sleeper.Sleep(ctx, progressInterval) {
 		generations := 0
 		for _, e := range b.standIns.Engines {
 			generations += countRecords(e.Records(), "run")
@@ -290,7 +291,7 @@
 			if time.Now().After(deadline) {
 				return errors.Errorf("VM %s at %s did not answer /readyz with 200 within %s", m.vm.ID, m.vm.CallerAddress, readyTimeout)
 			}
-			if !sleep(ctx, readyInterval) {
+			if !sleeper.Sleep(ctx, readyInterval) {
 				return ctx.Err()
 			}
 		}
@@ -313,18 +314,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// sleep waits for d or until ctx ends; it reports whether d elapsed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func freeTCPAddress() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/sleeper"
 	"github.com/pkg/errors"
 )
 
@@ -99,7 +100,7 @@
 	failures, relist := 0, false
 	for ctx.Err() == nil {
 		if w.canSkipRead() {
-			sleep(ctx, idlePollInterval)
+			sleeper.Sleep(ctx, idlePollInterval)
 			continue
 		}
 		started := w.Clock()
@@ -119,7 +120,7 @@
 		} else {
 			failures, relist = 0, false
 		}
-		sleep(ctx, wait)
+		sleeper.Sleep(ctx, wait)
 	}
 	return ctx.Err()
 }
@@ -255,15 +256,3 @@
 		w.Log("platform is back")
 	}
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -23,6 +23,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/standin/fault"
 	"github.com/fuchsiaspoke/fuchsiaspoke/standin/record"
 	"github.com/fuchsiaspoke/fuchsiaspoke/standin/server"
+	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/sleeper"
 	"github.com/labstack/echo/v4"
 )
 
@@ -160,7 +161,7 @@
 		p.record(r, "call", http.StatusOK)
 		f := p.Fault()
 		if f.DelayMillis > 0 {
-			sleep(r.Context(), time.Duration(f.DelayMillis)*time.Millisecond)
+			sleeper.Sleep(r.Context(), time.Duration(f.DelayMillis)*time.Millisecond)
 		}
 		if f.Down {
 			return echo.ErrServiceUnavailable
@@ -326,12 +327,3 @@
 	p.SetFault(f)
 	return c.JSON(http.StatusOK, p.Fault())
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -15,6 +15,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/standin/server"
+	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/sleeper"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 )
@@ -46,10 +47,13 @@
 func (s *Store) Load(ctx context.Context, adapter fuchsiaspoke.Adapter) error {
 	wait := s.reserveStart(time.Now())
 	defer s.releaseLoad()
-	if err := sleep(ctx, wait); err != nil {
-		return errors.Wrapf(err, "wait for the weight store's rate limit to load adapter %s", adapter.Name)
+	if !sleeper.Sleep(ctx, wait) {
+		return errors.Wrapf(ctx.Err(), "wait for the weight store's rate limit to load adapter %s", adapter.Name)
 	}
-	return errors.Wrapf(sleep(ctx, s.loadTime()), "load adapter %s from the weight store", adapter.Name)
+	if !sleeper.Sleep(ctx, s.loadTime()) {
+		return errors.Wrapf(ctx.Err(), "load adapter %s from the weight store", adapter.Name)
+	}
+	return nil
 }
 
 // InFlight returns the number of loads that are waiting for the rate limit or running.
@@ -120,14 +124,3 @@
 	}
 	return duration * time.Duration(s.inFlight) / time.Duration(threshold)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/upstream/driver/stream.go
+++ b/upstream/driver/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/sleeper"
 	"github.com/pkg/errors"
 )
 
@@ -52,7 +53,7 @@
 		if !isResumable(ctx, err) {
 			break
 		}
-		sleep(ctx, time.Duration(i)*resumeBackoff)
+		sleeper.Sleep(ctx, time.Duration(i)*resumeBackoff)
 		d.pooledClient().CloseIdleConnections()
 		if _, reportErr := d.Report(ctx); reportErr != nil {
 			break
@@ -279,15 +280,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // chunkJSON is the JSON encoding of a chunk in an engine's stream.
 type chunkJSON struct {
 	RequestID    string               `json:"request_id"`
--- a/vm/router/router.go
+++ b/vm/router/router.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/sleeper"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/placer"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -83,7 +84,7 @@
 		replica, ok := r.chooseReplica(g, tried)
 		if !ok {
 			clear(tried)
-			if !sleep(ctx, retryInterval) {
+			if !sleeper.Sleep(ctx, retryInterval) {
 				return lastErr
 			}
 			continue
@@ -203,13 +204,3 @@
 		Status:     http.StatusServiceUnavailable,
 	}
 }
-
-// sleep waits and reports whether the context is still active; it returns early if the context ends.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(wait):
-		return true
-	}
-}
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/sleeper"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/selector"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
@@ -142,15 +143,8 @@
 
 // waitForPause waits until the engine's pause is over or ctx ends.
 func (t *requestTask) waitForPause(ctx context.Context, r fuchsiaspoke.Replica) {
-	pause := t.Permitter.Pause(r)
-	if pause == 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	if pause := t.Permitter.Pause(r); pause > 0 {
+		sleeper.Sleep(ctx, pause)
 	}
 }
 
--- a/zone/relayer/relayer.go
+++ b/zone/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/catalog"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
+	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/sleeper"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -297,10 +298,5 @@
 }
 
 func sleepWithJitter(ctx context.Context, mean time.Duration) {
-	timer := time.NewTimer(jitter(mean))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	sleeper.Sleep(ctx, jitter(mean))
 }
