--- a/upstream/queuer/queuer.go
+++ b/upstream/queuer/queuer.go
@@ -2,7 +2,6 @@
 package queuer
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -302,42 +301,6 @@
 	}
 }
 
-// countBypass adds the served entry's cost to the bypassed tokens of each bypassed account. The served account counts
-// as bypassed too, unless the entry is its oldest runnable one, which resets its bypassed tokens.
-func (q *Queuer) countBypass(served *account, e, oldest *entry) {
-	for _, a := range q.bypassed {
-		q.addBypass(a, maxCost(e))
-	}
-	if e == oldest {
-		served.bypassedTokens = 0
-		return
-	}
-	q.addBypass(served, maxCost(e))
-}
-
-// addBypass adds to the account's bypassed tokens and asserts that they stay within MaxBypassTokens.
-func (q *Queuer) addBypass(a *account, tokens int64) {
-	a.bypassedTokens += tokens
-	if a.bypassedTokens > MaxBypassTokens {
-		q.reportViolation(fmt.Sprintf("client account %s bypassed by %d weighted tokens", a.name, a.bypassedTokens))
-	}
-}
-
-// liftLagging raises the counters of waiting accounts to at least the served account's counter minus MaxLagTokens, and
-// asserts this bound.
-func (q *Queuer) liftLagging(served *account) {
-	limit := served.counter - MaxLagTokens
-	for _, a := range q.active {
-		if a.counter >= limit {
-			break
-		}
-		a.counter = limit
-	}
-	if len(q.active) > 0 && q.active[0].counter < limit {
-		q.reportViolation("client account " + q.active[0].name + " lags the served account by more than the bound")
-	}
-}
-
 // insert adds a waiting generation with this sequence number, unless its request id is already waiting.
 func (q *Queuer) insert(now time.Duration, g fuchsiaspoke.Generation, seq int64) bool {
 	q.init()
@@ -397,65 +360,6 @@
 	return out
 }
 
-// account returns the account with this name and creates it if it does not exist.
-func (q *Queuer) account(name string) *account {
-	a := q.accounts[name]
-	if a == nil {
-		a = &account{name: name}
-		q.accounts[name] = a
-	}
-	return a
-}
-
-// activate adds the account to the active ones. It lifts the account's counter to the lowest active counter or, if no
-// account is active, to the counter of the account that was deactivated last.
-func (q *Queuer) activate(a *account) {
-	floor := q.lastDeactivatedCounter
-	if len(q.active) > 0 {
-		floor = q.active[0].counter
-	}
-	a.counter = max(a.counter, floor)
-	a.bypassedTokens = 0
-	a.activeIndex = len(q.active)
-	q.active = append(q.active, a)
-	q.reposition(a)
-}
-
-// deactivate removes an account without waiting generations from the active ones.
-func (q *Queuer) deactivate(a *account) {
-	copy(q.active[a.activeIndex:], q.active[a.activeIndex+1:])
-	q.active = q.active[:len(q.active)-1]
-	for i := a.activeIndex; i < len(q.active); i++ {
-		q.active[i].activeIndex = i
-	}
-	q.lastDeactivatedCounter = a.counter
-}
-
-// addToCounter adds weighted tokens to the account's counter and restores the order of the active accounts.
-func (q *Queuer) addToCounter(a *account, weighted int64) {
-	a.counter += weighted
-	if a.waiting > 0 {
-		q.reposition(a)
-	}
-}
-
-// reposition restores the order of the active accounts after one account's counter changed.
-func (q *Queuer) reposition(a *account) {
-	for a.activeIndex > 0 && q.active[a.activeIndex-1].counter > a.counter {
-		q.swapWithNext(a.activeIndex - 1)
-	}
-	for a.activeIndex+1 < len(q.active) && q.active[a.activeIndex+1].counter <= a.counter {
-		q.swapWithNext(a.activeIndex)
-	}
-}
-
-// swapWithNext swaps the active accounts at i and i+1.
-func (q *Queuer) swapWithNext(i int) {
-	q.active[i], q.active[i+1] = q.active[i+1], q.active[i]
-	q.active[i].activeIndex = i
-	q.active[i+1].activeIndex = i + 1
-}
-
 func (q *Queuer) init() {
 	if q.accounts != nil {
 		return
@@ -472,8 +376,3 @@
 		q.OnViolation("queuer: " + detail)
 	}
 }
-
-// maxCost returns an upper bound on what a request adds to its account's counter.
-func maxCost(e *entry) int64 {
-	return PromptWeight*e.generation.PromptTokens + OutputWeight*e.generation.MaxOutputTokens
-}
--- a/upstream/requester/requester.go
+++ b/upstream/requester/requester.go
@@ -131,8 +131,8 @@
 	return r.Peers.VM(claim.VM)
 }
 
-// Request waits for admission. Owner is the engine's owner as a hub reported it; without an id it is that of Owner. Its error is a *fuchsiaspoke.Refusal, a *WaitLimitError or ctx's error, or has ErrNoOwner among
-// its causes.
+// Request waits for admission. The argument owner is the engine's owner as a hub reported it; if it has no id, the result of Owner is
+// used. The error is a *fuchsiaspoke.Refusal, a *WaitLimitError or ctx's error, or has ErrNoOwner among its causes.
 func (r *Requester) Request(ctx context.Context, req fuchsiaspoke.AdmissionRequest, owner fuchsiaspoke.VM) (*Admission, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	replies := make(chan fuchsiaspoke.AdmissionReply, 2)
