--- a/upstream/queuer/accounts.go
+++ b/upstream/queuer/accounts.go
@@ -1,7 +1,5 @@
 package queuer
 
-import ()
-
 // account returns the account with this name and creates it if it does not exist.
 func (q *Queuer) account(name string) *account {
 	a := q.accounts[name]
