--- a/contract/watcher/apply.go
+++ b/contract/watcher/apply.go
@@ -39,15 +39,15 @@
 		return
 	}
 	old := next
-	w.startEra(list.Revision)
+	w.startEpoch(list.Revision)
 	next.Replicas = make(map[string]fuchsiaspoke.Replica, len(list.Items))
 	next.Versions = make(map[string]map[string]int64)
 	for _, p := range list.Items {
 		w.applyPublication(&next, p)
 	}
 	w.retainMissing(&next, old.Replicas)
-	if list.Revision.Era > old.Revision.Era {
-		w.keepNewerThanCopy(&next, old)
+	if list.Revision.Epoch > old.Revision.Epoch {
+		w.keepNewerThanBackup(&next, old)
 	}
 	w.changeLog.reset(list.Revision)
 	w.store(next, list.Revision)
@@ -119,7 +119,7 @@
 
 func (w *Watcher) applyReplica(next *fuchsiaspoke.PublishedState, p fuchsiaspoke.Publication) {
 	old, known := next.Replicas[p.Name]
-	r := w.leavers.mark(*p.Replica)
+	r := w.drainNotices.mark(*p.Replica)
 	if next.Replicas == nil {
 		next.Replicas = make(map[string]fuchsiaspoke.Replica)
 	}
--- a/contract/watcher/era.go
+++ b/contract/watcher/epoch.go
@@ -7,7 +7,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 )
 
-// withdrawalRetention is how long a withdrawn replica is remembered; a copy from which the platform comes back is younger.
+// withdrawalRetention is how long a withdrawn replica is remembered; backups from which the platform is restored are younger.
 const withdrawalRetention = time.Minute
 
 // withdrawals holds the replicas that the platform withdrew lately, with the time of their withdrawal.
@@ -29,22 +29,22 @@
 	return known
 }
 
-// startEra notes that the platform has come back from a copy if the revision's era is newer than that of the state in force.
-// Replicas that the copy lacks are then kept as after an outage.
-func (w *Watcher) startEra(revision fuchsiaspoke.Revision) {
+// startEpoch notes that the platform was restored from a backup if the revision's epoch is newer than that of the state in force.
+// Replicas that the backup lacks are then kept as after an outage.
+func (w *Watcher) startEpoch(revision fuchsiaspoke.Revision) {
 	known := w.Published().Revision
-	if revision.Era <= known.Era || known.Number == 0 {
+	if revision.Epoch <= known.Epoch || known.Number == 0 {
 		return
 	}
 	w.recoveredAt = w.Clock()
-	w.count("store_era_changed")
-	w.Log("platform came back from a copy", "revision", revision.String(), "known", known.String(),
+	w.count("store_epoch_changed")
+	w.Log("platform was restored from a backup", "revision", revision.String(), "known", known.String(),
 		"read_ms_ago", (w.Clock() - w.Published().ReadAt).Milliseconds())
 }
 
-// keepNewerThanCopy keeps, of what was known before the platform came back from a copy, what the copy may be too old for: announced
-// versions of adapters, that a replica was draining, and that it was withdrawn. What the replica publishes next decides again.
-func (w *Watcher) keepNewerThanCopy(next *fuchsiaspoke.PublishedState, old fuchsiaspoke.PublishedState) {
+// keepNewerThanBackup keeps what the backup may be too old for: announced versions
+// of adapters, that a replica was draining, and that it was withdrawn. What the replica publishes next decides again.
+func (w *Watcher) keepNewerThanBackup(next *fuchsiaspoke.PublishedState, old fuchsiaspoke.PublishedState) {
 	for model, versions := range old.Versions {
 		for name, version := range versions {
 			applyAdapterVersion(next, model, fuchsiaspoke.Adapter{Name: name, Version: version})
@@ -56,7 +56,7 @@
 		case known && before.Incarnation() == r.Incarnation() && before.State == fuchsiaspoke.ReplicaDraining:
 			next.Replicas[name] = r.WithState(fuchsiaspoke.ReplicaDraining)
 		case !known && w.withdrawals.has(r.Incarnation()):
-			w.Log("replica gone", "replica", name, "reason", "withdrawn before the platform came back from a copy")
+			w.Log("replica gone", "replica", name, "reason", "withdrawn before the platform was restored from a backup")
 			delete(next.Replicas, name)
 		}
 	}
--- a/contract/watcher/era_test.go
+++ b/contract/watcher/epoch_test.go
@@ -10,23 +10,23 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/watcher"
 )
 
-// platformCopy is what a platform held at one time.
-type platformCopy struct {
+// platformBackup is what a platform held at one time.
+type platformBackup struct {
 	revision int64
 	items    map[string]fuchsiaspoke.Publication
 }
 
-func (p *fakePlatform) copied() platformCopy {
+func (p *fakePlatform) backup() platformBackup {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return platformCopy{p.revision, maps.Clone(p.items)}
+	return platformBackup{p.revision, maps.Clone(p.items)}
 }
 
-// restore starts a new era with what the platform held at the time of the copy.
-func (p *fakePlatform) restore(c platformCopy) {
+// restore starts a new epoch with what the platform held at the time of the backup.
+func (p *fakePlatform) restore(c platformBackup) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.era++
+	p.epoch++
 	p.revision, p.items, p.events = c.revision, maps.Clone(c.items), nil
 }
 
@@ -50,55 +50,55 @@
 	return w.Published().Replicas[id].State
 }
 
-// The platform comes back from a copy, so that its revisions are lower than the known one. What is published next has numbers that
+// The platform is restored from a backup, so that its revisions are lower than the known one. What is published next has numbers that
 // were given out before.
-func TestChangesAreFollowedAfterPlatformComesBackFromACopy(t *testing.T) {
+func TestChangesAreFollowedAfterPlatformIsRestoredFromABackup(t *testing.T) {
 	p := &fakePlatform{}
 	p.publish(contractPublication(1))
 	w := startReader(t, p)
 	waitUntil(t, time.Second, "the contract", func() bool { return contractVersion(w) == 1 })
-	for era := range 3 {
-		c := p.copied()
+	for epoch := range 3 {
+		c := p.backup()
 		for range 5 {
 			p.publish(replicaPublication("lost"))
 		}
 		waitUntil(t, changeLimit, "the replica", func() bool { return w.Published().Revision.Number == c.revision+5 })
 		lists := p.listCount()
 		p.restore(c)
-		id := string(rune('a' + era))
+		id := string(rune('a' + epoch))
 		p.publish(replicaPublication(id))
-		waitUntil(t, changeLimit, "a replica published in the new era", func() bool { return stateOf(w, id) == fuchsiaspoke.ReplicaReady })
+		waitUntil(t, changeLimit, "a replica published in the new epoch", func() bool { return stateOf(w, id) == fuchsiaspoke.ReplicaReady })
 		if n := p.listCount() - lists; n != 1 {
-			t.Errorf("era %d: %d lists, want 1", era+1, n)
+			t.Errorf("epoch %d: %d lists, want 1", epoch+1, n)
 		}
 	}
 }
 
-// The new era has passed the known number before the platform is read again, so that a watch after this number succeeds.
-func TestEraIsNoticedWhereNumbersOverlap(t *testing.T) {
+// The new epoch has passed the known number before the platform is read again, so that a watch after this number succeeds.
+func TestEpochIsNoticedWhereNumbersOverlap(t *testing.T) {
 	p := &fakePlatform{}
 	p.publish(contractPublication(1))
 	w := startReader(t, p)
 	waitUntil(t, time.Second, "the contract", func() bool { return contractVersion(w) == 1 })
-	c := p.copied()
+	c := p.backup()
 	p.publish(replicaPublication("lost"))
 	waitUntil(t, changeLimit, "the replica", func() bool { return len(w.Published().Replicas) == 1 })
 	p.mu.Lock()
-	p.era++
+	p.epoch++
 	p.revision, p.items, p.events = c.revision, maps.Clone(c.items), nil
 	p.mu.Unlock()
 	for _, id := range []string{"a", "b", "c"} {
 		p.publish(replicaPublication(id))
 	}
-	waitUntil(t, changeLimit, "the replicas of the new era", func() bool {
+	waitUntil(t, changeLimit, "the replicas of the new epoch", func() bool {
 		r := w.Published().Replicas
 		return slices.Sorted(maps.Keys(r))[0] == "a" && len(r) >= 3
 	})
 }
 
-// An older copy does not undo what was in force: the contract, announced versions, that a replica drains, that one was withdrawn. A
-// replica that the copy lacks stays until it has had time to be published again.
-func TestOlderCopyUndoesNothing(t *testing.T) {
+// An older backup does not undo what was in force: the contract, announced versions, that a replica drains, that one was withdrawn. A
+// replica that the backup lacks stays until it has had time to be published again.
+func TestOlderBackupUndoesNothing(t *testing.T) {
 	p := &fakePlatform{}
 	p.publish(contractPublication(1))
 	p.publish(adapterPublication(3))
@@ -106,7 +106,7 @@
 		p.publish(withState(id, fuchsiaspoke.ReplicaReady))
 	}
 	w := startReader(t, p)
-	c := p.copied()
+	c := p.backup()
 	waitUntil(t, time.Second, "the replicas", func() bool { return len(w.Published().Replicas) == 3 })
 	p.publish(contractPublication(2))
 	p.publish(adapterPublication(4))
@@ -117,7 +117,7 @@
 	newest := fuchsiaspoke.Revision{Number: c.revision + 6}
 	waitUntil(t, changeLimit, "the changes", func() bool { return w.Published().Revision == newest })
 	p.restore(c)
-	waitUntil(t, changeLimit, "the new era", func() bool { return w.Published().Revision.Era == 1 })
+	waitUntil(t, changeLimit, "the new epoch", func() bool { return w.Published().Revision.Epoch == 1 })
 	s := w.Published()
 	if s.Contract.Version != 2 || s.AdapterVersion("m", "a") != 4 {
 		t.Errorf("contract %d, adapter version %d, want 2 and 4", s.Contract.Version, s.AdapterVersion("m", "a"))
@@ -137,11 +137,11 @@
 	}
 }
 
-// A VM that hears of the new era from a peer takes its state over, although its numbers are lower; a peer of an older era is ignored.
-func TestRelayOfNewerEraReplacesHigherNumbers(t *testing.T) {
-	relay := func(era, number int64, id string) fuchsiaspoke.PublicationRelay {
+// A VM that hears of the new epoch from a peer takes its state over, although its numbers are lower; a peer of an older epoch is ignored.
+func TestRelayOfNewerEpochReplacesHigherNumbers(t *testing.T) {
+	relay := func(epoch, number int64, id string) fuchsiaspoke.PublicationRelay {
 		return fuchsiaspoke.PublicationRelay{
-			Revision: fuchsiaspoke.Revision{Era: era, Number: number}, Whole: true,
+			Revision: fuchsiaspoke.Revision{Epoch: epoch, Number: number}, Whole: true,
 			Replicas: map[string]fuchsiaspoke.Replica{id: {ID: id, State: fuchsiaspoke.ReplicaReady}},
 		}
 	}
@@ -150,17 +150,17 @@
 	c := &fuchsiaspoke.Contract{Version: 1}
 	w.ApplyRelay(c, relay(1, 900, "old"), "peer")
 	w.ApplyRelay(nil, relay(2, 60, "new"), "peer")
-	if got := w.Published().Revision; got != (fuchsiaspoke.Revision{Era: 2, Number: 60}) || stateOf(w, "new") == "" {
+	if got := w.Published().Revision; got != (fuchsiaspoke.Revision{Epoch: 2, Number: 60}) || stateOf(w, "new") == "" {
 		t.Errorf("revision %s, want 2.60 with its replica", got)
 	}
 	w.ApplyRelay(nil, relay(1, 950, "late"), "peer")
-	w.ConfirmRevision(fuchsiaspoke.Revision{Era: 1, Number: 60}, 0)
-	if got := w.Published().Revision; got.Era != 2 || stateOf(w, "late") != "" {
-		t.Errorf("revision %s after a relay of an older era, want 2.60", got)
+	w.ConfirmRevision(fuchsiaspoke.Revision{Epoch: 1, Number: 60}, 0)
+	if got := w.Published().Revision; got.Epoch != 2 || stateOf(w, "late") != "" {
+		t.Errorf("revision %s after a relay of an older epoch, want 2.60", got)
 	}
 }
 
-// A VM that starts after the platform came back from a copy finds an older contract there than its peers have.
+// A VM that starts after the platform was restored from a backup finds an older contract there than its peers have.
 func TestPlatformLacksContractThatPeersHave(t *testing.T) {
 	p := &fakePlatform{}
 	p.publish(contractPublication(1))
--- a/contract/watcher/relay.go
+++ b/contract/watcher/relay.go
@@ -127,12 +127,12 @@
 // applyWholeRelay replaces the replicas and adapter versions by those of a peer.
 func (w *Watcher) applyWholeRelay(next *fuchsiaspoke.PublishedState, r fuchsiaspoke.PublicationRelay) {
 	old := *next
-	next.Replicas, next.Versions = w.leavers.markAll(r.Replicas), r.Versions
-	if r.Revision.Era > old.Revision.Era {
-		w.startEra(r.Revision)
+	next.Replicas, next.Versions = w.drainNotices.markAll(r.Replicas), r.Versions
+	if r.Revision.Epoch > old.Revision.Epoch {
+		w.startEpoch(r.Revision)
 		next.Replicas, next.Versions = maps.Clone(next.Replicas), maps.Clone(next.Versions)
 		w.retainMissing(next, old.Replicas)
-		w.keepNewerThanCopy(next, old)
+		w.keepNewerThanBackup(next, old)
 	}
 }
 
--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -75,7 +75,7 @@
 	// missingSince holds, by publication name, when a replica that is kept after an outage was first missing from a full list.
 	missingSince map[string]time.Duration
 	withdrawals  withdrawals
-	leavers      leavers
+	drainNotices drainNotices
 	// failing is whether the last call to the platform failed; recoveredAt is when the last outage ended.
 	failing     bool
 	recoveredAt time.Duration
@@ -165,7 +165,7 @@
 }
 
 // PlatformLacksContract reports whether the platform, read after a peer reported a newer contract, did not have that contract, as
-// when it came back from an older copy.
+// when it was restored from an older backup.
 func (w *Watcher) PlatformLacksContract() bool {
 	p := w.Published()
 	w.mu.Lock()
@@ -224,11 +224,11 @@
 	switch {
 	case err != nil:
 		return err
-	case list.Revision.Era > revision.Era:
-		// The numbers of another era have another meaning: this watch has skipped what the copy changed before the number.
+	case list.Revision.Epoch > revision.Epoch:
+		// The numbers of another epoch have another meaning: this watch has skipped what was changed before the number.
 		return errors.Wrapf(fuchsiaspoke.ErrHistoryDiscarded, "watched after %s, platform is at %s", revision, list.Revision)
-	case list.Revision.Era < revision.Era:
-		return errors.Errorf("platform answered from era %d, known is %d", list.Revision.Era, revision.Era)
+	case list.Revision.Epoch < revision.Epoch:
+		return errors.Errorf("platform answered from epoch %d, known is %d", list.Revision.Epoch, revision.Epoch)
 	}
 	w.applyChanges(list)
 	return nil
--- a/contract/watcher/watcher_test.go
+++ b/contract/watcher/watcher_test.go
@@ -15,7 +15,7 @@
 type fakePlatform struct {
 	mu       sync.Mutex
 	revision int64
-	era      int64
+	epoch    int64
 	items    map[string]fuchsiaspoke.Publication
 	events   []fuchsiaspoke.Publication
 	calls    int
@@ -32,7 +32,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.revision++
-	item.Revision = fuchsiaspoke.Revision{Era: p.era, Number: p.revision}
+	item.Revision = fuchsiaspoke.Revision{Epoch: p.epoch, Number: p.revision}
 	if p.items == nil {
 		p.items = map[string]fuchsiaspoke.Publication{}
 	}
@@ -65,7 +65,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lists++
-	list := fuchsiaspoke.PublicationList{Revision: fuchsiaspoke.Revision{Era: p.era, Number: p.revision}}
+	list := fuchsiaspoke.PublicationList{Revision: fuchsiaspoke.Revision{Epoch: p.epoch, Number: p.revision}}
 	for _, item := range p.items {
 		list.Items = append(list.Items, item)
 	}
@@ -84,7 +84,7 @@
 			p.mu.Unlock()
 			return fuchsiaspoke.PublicationList{}, fuchsiaspoke.ErrHistoryDiscarded
 		}
-		list := fuchsiaspoke.PublicationList{Revision: fuchsiaspoke.Revision{Era: p.era, Number: p.revision}}
+		list := fuchsiaspoke.PublicationList{Revision: fuchsiaspoke.Revision{Epoch: p.epoch, Number: p.revision}}
 		for _, e := range p.events {
 			if e.Revision.Number > after {
 				list.Items = append(list.Items, e)
@@ -98,7 +98,7 @@
 	}
 }
 
-// revision returns a revision of the first era.
+// revision returns a revision of the first epoch.
 func revision(number int64) fuchsiaspoke.Revision { return fuchsiaspoke.Revision{Number: number} }
 
 func contractPublication(version int64) fuchsiaspoke.Publication {
--- a/metrics/meter/meter_test.go
+++ b/metrics/meter/meter_test.go
@@ -25,7 +25,7 @@
 	m.Duplicate("saathi")
 	m.UnknownOutcome("saathi")
 	m.InvariantViolation("overshoot")
-	m.Event("replica_leaving")
+	m.Event("replica_draining")
 	m.BodyEnd(fuchsiaspoke.FramedByConnection, fuchsiaspoke.BodyEndedInsideEvent)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
--- a/revision_test.go
+++ b/revision_test.go
@@ -7,8 +7,8 @@
 )
 
 func ExampleRevision_NewerThan() {
-	before := fuchsiaspoke.Revision{Era: 1, Number: 937}
-	after := fuchsiaspoke.Revision{Era: 2, Number: 66}
+	before := fuchsiaspoke.Revision{Epoch: 1, Number: 937}
+	after := fuchsiaspoke.Revision{Epoch: 2, Number: 66}
 	fmt.Println(after.NewerThan(before), before.NewerThan(fuchsiaspoke.Revision{}))
 	fmt.Println(after)
 	// Output:
--- a/upstream/permitter/permitter.go
+++ b/upstream/permitter/permitter.go
@@ -10,13 +10,13 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 )
 
-// Permitter knows which replicas leave and which have asked this VM to pause. All fields must be set before the first call.
+// Permitter knows which replicas drain and which have asked this VM to pause. All fields must be set before the first call.
 type Permitter struct {
 	Published func() *fuchsiaspoke.PublishedState
-	// MarkLeaving records that a replica leaves; Published then shows it as draining.
-	MarkLeaving func(fuchsiaspoke.ReplicaIncarnation)
-	Clock       func() time.Duration
-	Log         func(event string, keysAndValues ...any)
+	// MarkDraining records that a replica drains; Published then shows it as draining.
+	MarkDraining func(fuchsiaspoke.ReplicaIncarnation)
+	Clock        func() time.Duration
+	Log          func(event string, keysAndValues ...any)
 	// Count counts an event by its name.
 	Count func(event string)
 
@@ -30,8 +30,8 @@
 	if n.Fault != nil {
 		p.Log("replica notice not usable", "replica", r.ID, "address", r.Address, "error", n.Fault.Error())
 	}
-	if n.Leaving {
-		p.MarkLeaving(r.Incarnation())
+	if n.Draining {
+		p.MarkDraining(r.Incarnation())
 	}
 	if n.Pause > 0 {
 		p.pause(r, n.Pause)
@@ -56,7 +56,7 @@
 }
 
 // MaySend reports whether this VM may send to the replica now: it is published as ready, has neither restarted nor moved, has not
-// said that it leaves, and has not asked this VM to pause.
+// reported that it drains, and has not asked this VM to pause.
 func (p *Permitter) MaySend(r fuchsiaspoke.Replica) bool {
 	return p.isReady(r) && p.Pause(r) == 0
 }
--- a/upstream/permitter/permitter_test.go
+++ b/upstream/permitter/permitter_test.go
@@ -19,7 +19,7 @@
 	}
 	return &permitter.Permitter{
 		Published: func() *fuchsiaspoke.PublishedState { return published },
-		MarkLeaving: func(i fuchsiaspoke.ReplicaIncarnation) {
+		MarkDraining: func(i fuchsiaspoke.ReplicaIncarnation) {
 			published.Replicas[i.ID] = published.Replicas[i.ID].WithState(fuchsiaspoke.ReplicaDraining)
 		},
 		Clock: func() time.Duration { return *now }, Log: func(string, ...any) {}, Count: func(string) {},
@@ -48,15 +48,15 @@
 	}
 }
 
-func TestLeavingReplicaIsSentNothing(t *testing.T) {
+func TestDrainingReplicaIsSentNothing(t *testing.T) {
 	now := time.Second
 	a, b := replica("a", 1), replica("b", 1)
 	p := newPermitter(&now, a, b)
-	p.Observe(a, fuchsiaspoke.ReplicaNotice{Leaving: true})
+	p.Observe(a, fuchsiaspoke.ReplicaNotice{Draining: true})
 	if p.MaySend(a) || !p.MaySend(b) || len(p.Ready("s")) != 1 {
 		t.Errorf("may send to a %v, to b %v", p.MaySend(a), p.MaySend(b))
 	}
-	p.Observe(b, fuchsiaspoke.ReplicaNotice{Leaving: true})
+	p.Observe(b, fuchsiaspoke.ReplicaNotice{Draining: true})
 	if len(p.Ready("s")) != 0 || p.ResumesIn("s") != 0 {
 		t.Errorf("ready %v, resumes in %v, want none and 0", p.Ready("s"), p.ResumesIn("s"))
 	}
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -201,7 +201,7 @@
 	}
 	e.permitter = &permitter.Permitter{
 		Published: e.watcher.Published, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
-		MarkLeaving: func(i fuchsiaspoke.ReplicaIncarnation) { e.watcher.MarkLeaving(i, e.VM.ID) },
+		MarkDraining: func(i fuchsiaspoke.ReplicaIncarnation) { e.watcher.MarkDraining(i, e.VM.ID) },
 	}
 	e.requester = &requester.Requester{Peers: &e.membership, Dialer: e.dialer, Clock: e.timer.Now, Self: e.VM}
 	e.finder = &finder.Finder{
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -33,8 +33,8 @@
 	usedBoundsShare = 0.7
 	// assumedFleetSize is the number of VMs assumed while no other VM is known.
 	assumedFleetSize = 8
-	// maxLeavingReplicas bounds the leaving replicas in one heartbeat, which fits one datagram.
-	maxLeavingReplicas = 8
+	// maxDrainingReplicas bounds the draining replicas in one heartbeat, which fits one datagram.
+	maxDrainingReplicas = 8
 )
 
 // composeHeartbeats returns the heartbeats to send now.
@@ -85,7 +85,7 @@
 		Draining:       e.Leaving(),
 		AdmittedTokens: admittedTokens, BucketLevels: bucketLevels, Acks: acks, RateShare: rateShare,
 		Revision: p.Revision, ReadAge: now - p.ReadAt, Engines: e.requester.Views(),
-		LeavingReplicas: e.leavingReplicas(number),
+		DrainingReplicas: e.drainingReplicas(number),
 	}
 	if p.Contract != nil {
 		s.ContractVersion = p.Contract.Version
@@ -93,17 +93,17 @@
 	return s
 }
 
-// leavingReplicas returns the replicas that have said that they leave, for one heartbeat: at most maxLeavingReplicas, which are others
+// drainingReplicas returns the replicas that have reported that they drain, for one heartbeat: at most maxDrainingReplicas, which are others
 // from one heartbeat to the next.
-func (e *Entry) leavingReplicas(heartbeat uint64) []fuchsiaspoke.ReplicaIncarnation {
-	all := e.watcher.Leaving()
-	if len(all) <= maxLeavingReplicas {
+func (e *Entry) drainingReplicas(heartbeat uint64) []fuchsiaspoke.ReplicaIncarnation {
+	all := e.watcher.ReportedDraining()
+	if len(all) <= maxDrainingReplicas {
 		return all
 	}
 	slices.SortFunc(all, func(a, b fuchsiaspoke.ReplicaIncarnation) int { return cmp.Compare(a.ID, b.ID) })
-	out := make([]fuchsiaspoke.ReplicaIncarnation, 0, maxLeavingReplicas)
-	for i := range maxLeavingReplicas {
-		out = append(out, all[(int(heartbeat%uint64(len(all)))*maxLeavingReplicas+i)%len(all)])
+	out := make([]fuchsiaspoke.ReplicaIncarnation, 0, maxDrainingReplicas)
+	for i := range maxDrainingReplicas {
+		out = append(out, all[(int(heartbeat%uint64(len(all)))*maxDrainingReplicas+i)%len(all)])
 	}
 	return out
 }
@@ -132,8 +132,8 @@
 		e.Log("VM heard", "peer", s.VM.ID, "zone", string(s.VM.Zone), "incarnation", s.Incarnation,
 			"uptime_ms", s.Uptime.Milliseconds())
 	}
-	for _, r := range s.LeavingReplicas {
-		e.watcher.MarkLeaving(r, s.VM.ID)
+	for _, r := range s.DrainingReplicas {
+		e.watcher.MarkDraining(r, s.VM.ID)
 	}
 	e.observeRates(now, s)
 	p := e.watcher.Published()
--- a/vm/sender/sender_test.go
+++ b/vm/sender/sender_test.go
@@ -46,7 +46,7 @@
 // newPermitter returns a permitter that knows what the sender knows.
 func newPermitter(s *sender.Sender) *permitter.Permitter {
 	return &permitter.Permitter{
-		Published: s.Published, MarkLeaving: func(fuchsiaspoke.ReplicaIncarnation) {}, Clock: s.Clock, Log: s.Log, Count: func(string) {},
+		Published: s.Published, MarkDraining: func(fuchsiaspoke.ReplicaIncarnation) {}, Clock: s.Clock, Log: s.Log, Count: func(string) {},
 	}
 }
 
--- a/vm_state.go
+++ b/vm_state.go
@@ -39,16 +39,16 @@
 	// WantsAnswer reports that the sender takes the receiver for a hub and waits for its heartbeats.
 	WantsAnswer bool `cbor:"18,keyasint,omitempty"`
 	// Continuation reports that this is a further datagram of a heartbeat, without AdmittedTokens, BucketLevels, Acks and
-	// LeavingReplicas.
+	// DrainingReplicas.
 	Continuation bool `cbor:"19,keyasint,omitempty"`
-	// LeavingReplicas are replicas that have said that they leave, a part of them in each heartbeat.
-	LeavingReplicas []ReplicaIncarnation `cbor:"21,keyasint,omitempty"`
+	// DrainingReplicas are replicas that have reported that they drain, a part of them in each heartbeat.
+	DrainingReplicas []ReplicaIncarnation `cbor:"21,keyasint,omitempty"`
 }
 
 // AsContinuation returns the state for a further datagram of the same heartbeat.
 func (s VMState) AsContinuation() VMState {
 	s.Continuation = true
-	s.AdmittedTokens, s.BucketLevels, s.Acks, s.LeavingReplicas = nil, nil, nil, nil
+	s.AdmittedTokens, s.BucketLevels, s.Acks, s.DrainingReplicas = nil, nil, nil, nil
 	return s
 }
 
--- a/zone/exchanger/simulation_test.go
+++ b/zone/exchanger/simulation_test.go
@@ -133,7 +133,7 @@
 	role := v.exchanger.UpdateRole(local, local > time.Second, false)
 	state := fuchsiaspoke.VMState{
 		VM: v.vm, Incarnation: fmt.Sprint("incarnation", generation), HeartbeatNumber: v.number, Uptime: local, Ready: local > time.Second,
-		Revision: fuchsiaspoke.Revision{Era: 2, Number: 12345}, ContractVersion: 17,
+		Revision: fuchsiaspoke.Revision{Epoch: 2, Number: 12345}, ContractVersion: 17,
 	}
 	if role.Hub {
 		for e := range enginesPerHub {
