--- a/contract/watcher/epoch.go
+++ b/contract/watcher/epoch.go
@@ -42,8 +42,8 @@
 		"read_ms_ago", (w.Clock() - w.Published().ReadAt).Milliseconds())
 }
 
-// keepNewerThanBackup keeps what the backup may be too old for: announced versions
-// of adapters, that a replica was draining, and that it was withdrawn. What the replica publishes next decides again.
+// keepNewerThanBackup keeps what the backup may be too old for: announced versions of adapters, that a replica was draining, and that
+// it was withdrawn. What the replica publishes next decides again.
 func (w *Watcher) keepNewerThanBackup(next *fuchsiaspoke.PublishedState, old fuchsiaspoke.PublishedState) {
 	for model, versions := range old.Versions {
 		for name, version := range versions {
--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -234,8 +234,8 @@
 	return nil
 }
 
-// recordResult records whether a call to the platform that began at started failed, and logs the start and the end of an outage. ErrHistoryDiscarded is
-// only logged and counts neither as a failure nor as a success.
+// recordResult records whether a call to the platform that began at started failed, and logs the start and the end of an outage.
+// ErrHistoryDiscarded is only logged and counts neither as a failure nor as a success.
 func (w *Watcher) recordResult(started time.Duration, err error) {
 	if errors.Is(err, fuchsiaspoke.ErrHistoryDiscarded) {
 		w.Log("platform discarded its change history; listing all publications again", "reason", err.Error())
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -212,8 +212,8 @@
 	e.authorizer = &authorizer.Authorizer{Published: e.watcher.Published, RateLimiter: &e.rateLimiter, Clock: e.timer.Now}
 	e.sender = &sender.Sender{
 		Published: e.watcher.Published, Transport: &e.transport, Protocol: e.Platform.Replicas, Requester: e.requester,
-		Finder: e.finder, Tracker: &e.tracker, Permitter: e.permitter, RetryBudget: &e.retryLimiters, Clock: e.timer.Now, Log: e.Log, Observe: e.Observe,
-		ObserveBodyEnd: e.ObserveBodyEnd,
+		Finder: e.finder, Tracker: &e.tracker, Permitter: e.permitter, RetryBudget: &e.retryLimiters, Clock: e.timer.Now,
+		Log: e.Log, Observe: e.Observe, ObserveBodyEnd: e.ObserveBodyEnd,
 		TimeUntilOwned: e.timeUntilOwned,
 	}
 	return nil
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -93,8 +93,8 @@
 	return s
 }
 
-// drainingReplicas returns the replicas that have reported that they drain, for one heartbeat: at most maxDrainingReplicas, which are others
-// from one heartbeat to the next.
+// drainingReplicas returns the replicas that have reported that they drain, for one heartbeat. If they are more than
+// maxDrainingReplicas, the heartbeats name them in turn.
 func (e *Entry) drainingReplicas(heartbeat uint64) []fuchsiaspoke.ReplicaIncarnation {
 	all := e.watcher.ReportedDraining()
 	if len(all) <= maxDrainingReplicas {
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -100,7 +100,7 @@
 		if !choice.Accepting && !t.servableWithoutOwner(choice) {
 			continue
 		}
-		if requested == 0 {
+		if i == 0 {
 			t.waitForPause(ctx, choice.Replica)
 		}
 		if !t.Permitter.MaySend(choice.Replica) {
