--- a/contract/watcher/epoch_test.go
+++ b/contract/watcher/epoch_test.go
@@ -1,8 +1,10 @@
 package watcher_test
 
 import (
+	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -177,3 +179,60 @@
 		t.Error("the platform lacks the contract that was read from it")
 	}
 }
+
+// listCounter counts the lists of one VM.
+type listCounter struct {
+	*fakePlatform
+	lists atomic.Int64
+}
+
+func (c *listCounter) List(ctx context.Context) (fuchsiaspoke.PublicationList, error) {
+	c.lists.Add(1)
+	return c.fakePlatform.List(ctx)
+}
+
+// A new epoch costs one list for each VM that reads the platform. The others take it from readers, but for a few that read once
+// themselves, as no reader has confirmed their state for 0.8 s.
+func TestNewEpochIsNotListedByEachVM(t *testing.T) {
+	for _, fleet := range []struct{ vms, readers int }{{6, 2}, {195, 11}} {
+		p := &fakePlatform{}
+		p.publish(contractPublication(1))
+		watchers, counters := make([]*watcher.Watcher, fleet.vms), make([]*listCounter, fleet.vms)
+		for n := range watchers {
+			counters[n] = &listCounter{fakePlatform: p}
+			watchers[n] = runWatcher(t, &watcher.Watcher{
+				Platform: counters[n], PropagationLimit: changeLimit, IsReader: func() bool { return n < fleet.readers },
+			})
+		}
+		relayUntil := func(what string, reached func(*watcher.Watcher) bool) {
+			waitUntil(t, 5*time.Second, what, func() bool {
+				for n, w := range watchers[fleet.readers:] {
+					relayFromPeer(w, watchers[n%fleet.readers])
+					relayFromPeer(w, watchers[(n+1)%fleet.readers])
+				}
+				return !slices.ContainsFunc(watchers, func(w *watcher.Watcher) bool { return !reached(w) })
+			})
+		}
+		relayUntil("the contract", func(w *watcher.Watcher) bool { return contractVersion(w) == 1 })
+		c := p.backup()
+		p.publish(replicaPublication("lost"))
+		before := make([]int64, fleet.vms)
+		for n := range counters {
+			before[n] = counters[n].lists.Load()
+		}
+		p.restore(c)
+		p.publish(replicaPublication("kept"))
+		relayUntil("the new epoch", func(w *watcher.Watcher) bool { return stateOf(w, "kept") != "" })
+		total := int64(0)
+		for n := range counters {
+			lists := counters[n].lists.Load() - before[n]
+			total += lists
+			if lists > 1 {
+				t.Errorf("%d VMs: VM %d listed %d times, want at most once", fleet.vms, n, lists)
+			}
+		}
+		if total > 2*int64(fleet.readers) {
+			t.Errorf("%d VMs: %d lists, want at most two for each of %d readers", fleet.vms, total, fleet.readers)
+		}
+	}
+}
