Proof fleets: give each port out once

The fleet draws ports at random and takes one for free that nothing listens on yet, so that two VMs of a fleet may get the same one: TestNoAddressIsGivenOutTwice failed after 84 addresses. Ports that were given out are remembered now.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -347,11 +347,18 @@
 	return freeAddress(t, func(address string) (io.Closer, error) { return net.ListenPacket("udp", address) })
 }
 
-// freeAddress finds a free port below the kernel's ephemeral range. An outgoing connection could otherwise take the port of a VM that
-// is down or not yet started.
+// givenPorts holds the ports that freeAddress has returned. One is free until its VM listens on it, and after the VM has ended.
+var givenPorts sync.Map
+
+// freeAddress finds a free port below the kernel's ephemeral range, each port once. An outgoing connection could otherwise take the port
+// of a VM that is down or not yet started.
 func freeAddress(t *testing.T, listen func(address string) (io.Closer, error)) string {
 	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", minVMPort+rand.Intn(maxVMPort-minVMPort))
+		port := minVMPort + rand.Intn(maxVMPort-minVMPort)
+		if _, given := givenPorts.LoadOrStore(port, true); given {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		if l, err := listen(address); err == nil {
 			requireNoError(t, l.Close())
 			return address
