--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -18,6 +18,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
