--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -214,7 +214,7 @@
 		Published: e.watcher.Published, Transport: &e.transport, Protocol: e.Platform.Replicas, Requester: e.requester,
 		Finder: e.finder, Tracker: &e.tracker, Permitter: e.permitter, RetryBudget: &e.retryLimiters, Clock: e.timer.Now,
 		Log: e.Log, Observe: e.Observe, ObserveBodyEnd: e.ObserveBodyEnd,
-		TimeUntilOwned: e.timeUntilOwned,
+		Count: e.CountEvent, TimeUntilOwned: e.timeUntilOwned,
 	}
 	return nil
 }
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -59,7 +59,9 @@
 // interruptedIfStarted replaces a refusal with ErrResponseInterrupted if the head of the stream was already sent.
 func (t *requestTask) interruptedIfStarted(r *streamRelay, err error) error {
 	if r.headSent {
-		t.Log("stream cut", "request", t.request.ID, "last_event", r.lastEventID, "reason", err.Error())
+		t.Count("stream_cut")
+		t.Log("stream cut", "request", t.request.ID, "last_event", r.lastEventID, "reason", err.Error(),
+			"time_left_ms", (t.sendDeadline - t.Clock()).Milliseconds())
 		return ErrResponseInterrupted
 	}
 	return err
@@ -245,16 +247,16 @@
 // attempt sends the request to one engine and relays the events of its stream to the caller.
 func (t *requestTask) attempt(ctx context.Context, admission *requester.Admission, r fuchsiaspoke.Replica, relay *streamRelay) outcome {
 	started := t.Clock()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stallTimer := t.startStallTimer(admission, cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stallTimer := t.startStallTimer(admission, func() { cancel(errStalled) })
 	defer stallTimer.Stop()
 	t.Tracker.RecordStart(started, r.ID)
 	response, err := t.send(ctx, fuchsiaspoke.SendOptions{
 		Replica: r, TimeLeft: t.sendDeadline - started, Version: admission.Version, LastEvent: relay.lastEventID,
 	})
 	if err != nil {
-		t.recordSendFailure(r, started, err)
+		t.recordSendFailure(ctx, r, started, err)
 		return outcome{err: err, notSent: notSent(err), done: t.callerCtx.Err() != nil}
 	}
 	defer response.Close()
@@ -267,7 +269,7 @@
 		return t.handleFailure(r, started, info, response)
 	}
 	t.executed = true
-	return t.relayStream(response, admission, r, relay, started, stallTimer)
+	return t.relayStream(ctx, response, admission, r, relay, started, stallTimer)
 }
 
 // startStallTimer starts the timer that cancels the attempt when the engine has sent nothing for too long. It has no effect on
@@ -318,7 +320,7 @@
 
 // relayStream relays events to the caller until the stream ends or fails.
 func (t *requestTask) relayStream(
-	response *transport.Response, admission *requester.Admission, r fuchsiaspoke.Replica, relay *streamRelay,
+	ctx context.Context, response *transport.Response, admission *requester.Admission, r fuchsiaspoke.Replica, relay *streamRelay,
 	started time.Duration, stallTimer *time.Timer,
 ) outcome {
 	first := true
@@ -351,6 +353,6 @@
 		return outcome{done: true, err: ErrCallerDisconnected}
 	}
 	t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
-	t.recordSendFailure(r, started, &fuchsiaspoke.SendError{Peer: r.Address, Step: "read stream", Cause: err})
+	t.recordSendFailure(ctx, r, started, &fuchsiaspoke.SendError{Peer: r.Address, Step: "read stream", Cause: err})
 	return outcome{err: err}
 }
--- a/vm/sender/generation_test.go
+++ b/vm/sender/generation_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 )
@@ -23,7 +24,7 @@
 	} {
 		w := &headCounter{}
 		task := &requestTask{
-			Sender: &Sender{Log: func(string, ...any) {}}, out: w, callerCtx: context.Background(),
+			Sender: &Sender{Log: func(string, ...any) {}, Count: func(string) {}, Clock: func() time.Duration { return 0 }}, out: w, callerCtx: context.Background(),
 			request: fuchsiaspoke.AdmittedRequest{ID: "r"},
 		}
 		err := task.resultAfterLastAttempt(context.Background(), &streamRelay{out: w, headSent: true}, o)
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -43,6 +43,14 @@
 // ErrCallerDisconnected is returned when the caller disconnects before the response is complete.
 var ErrCallerDisconnected = errors.New("caller disconnected before the response was complete")
 
+// Causes with which the VM itself ends an attempt.
+var (
+	errRequestTimeout = errors.New("the request's deadline or its route's timeout was reached")
+	errAttemptTimeout = errors.New("the attempt lasted longer than one that another may follow")
+	errStalled        = errors.New("the engine sent nothing for too long")
+	errCallerLeft     = errors.New("the caller left")
+)
+
 // protocol is how requests and responses are encoded between a VM and a replica.
 type protocol interface {
 	// PrepareMessage returns the message with the headers that a replica expects.
@@ -87,6 +95,8 @@
 	Observe func(predicted, measured time.Duration)
 	// ObserveBodyEnd records how the body of each replica's response ended.
 	ObserveBodyEnd func(fuchsiaspoke.Framing, fuchsiaspoke.BodyEnd)
+	// Count counts an event by its name.
+	Count func(event string)
 	// TimeUntilOwned estimates how long it takes until engines have owners, such as after a start of all VMs; 0 is now.
 	TimeUntilOwned func() time.Duration
 }
@@ -97,7 +107,7 @@
 func (s *Sender) Serve(ctx context.Context, req fuchsiaspoke.AdmittedRequest, m fuchsiaspoke.Message, out responseWriter) error {
 	s.RetryBudget.Add(req.Service)
 	limit := min(req.Deadline, req.Arrived+req.Route.Timeout) - responseMargin
-	inner, cancel := context.WithTimeout(ctx, max(limit-s.Clock(), 0))
+	inner, cancel := context.WithTimeoutCause(ctx, max(limit-s.Clock(), 0), errRequestTimeout)
 	defer cancel()
 	t := &requestTask{Sender: s, request: req, message: m, out: out, sendDeadline: limit, callerCtx: ctx}
 	if req.Demand.Model != "" && s.isEngineService(req.Service) {
@@ -281,7 +291,7 @@
 	t.Tracker.RecordStart(started, r.ID)
 	response, err := t.send(ctx, fuchsiaspoke.SendOptions{Replica: r, TimeLeft: t.sendDeadline - started})
 	if err != nil {
-		t.recordSendFailure(r, started, err)
+		t.recordSendFailure(ctx, r, started, err)
 		return nil, err
 	}
 	defer response.Close()
@@ -294,7 +304,7 @@
 	if err != nil {
 		t.sendCount++
 		err = &fuchsiaspoke.SendError{Peer: r.Address, Step: "read response", Cause: err}
-		t.recordSendFailure(r, started, err)
+		t.recordSendFailure(ctx, r, started, err)
 		return nil, err
 	}
 	if !info.Misdirected {
@@ -331,12 +341,12 @@
 	if !t.request.Route.Idempotent || t.sendCount+1 >= t.request.Route.MaxAttempts {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, attemptObjectives*t.request.Route.Objective)
+	return context.WithTimeoutCause(ctx, attemptObjectives*t.request.Route.Objective, errAttemptTimeout)
 }
 
-// recordSendFailure logs the cause of a send without a complete response. Unless the caller disconnected, it also counts the
-// failure against the replica and closes the idle connections to it.
-func (t *requestTask) recordSendFailure(r fuchsiaspoke.Replica, started time.Duration, err error) {
+// recordSendFailure logs the cause of a send without a complete response; ctx is that of the attempt. Unless the caller disconnected,
+// it also counts the failure against the replica and closes the idle connections to it.
+func (t *requestTask) recordSendFailure(ctx context.Context, r fuchsiaspoke.Replica, started time.Duration, err error) {
 	if t.callerCtx.Err() != nil {
 		t.Tracker.RecordEnd(r.ID)
 	} else {
@@ -344,7 +354,18 @@
 		t.Transport.CloseIdle(r.Address)
 	}
 	t.Log("send failed", "request", t.request.ID, "replica", r.ID, "address", r.Address, "not_sent", notSent(err),
-		"caller_left", t.callerCtx.Err() != nil, "took_ms", (t.Clock() - started).Milliseconds(), "error", err.Error())
+		"caller_left", t.callerCtx.Err() != nil, "took_ms", (t.Clock() - started).Milliseconds(), "ended_by", t.endedBy(ctx), "error", err.Error())
+}
+
+// endedBy says who ended a failed attempt: this VM and why, or the replica with its connection.
+func (t *requestTask) endedBy(ctx context.Context) string {
+	switch {
+	case t.callerCtx.Err() != nil:
+		return errCallerLeft.Error()
+	case ctx.Err() != nil:
+		return context.Cause(ctx).Error()
+	}
+	return "replica"
 }
 
 // interpretHead interprets the head of a response, and records what the replica says of itself in it.
--- a/vm/sender/sender_test.go
+++ b/vm/sender/sender_test.go
@@ -64,7 +64,7 @@
 	s := &sender.Sender{
 		Published: func() *fuchsiaspoke.PublishedState { return published },
 		Requester: &requester.Requester{Peers: unknownPeers{}, Clock: clock},
-		Tracker:   &tracker.Tracker{}, RetryBudget: unlimitedBudget{}, Clock: clock, Log: func(string, ...any) {},
+		Tracker:   &tracker.Tracker{}, RetryBudget: unlimitedBudget{}, Clock: clock, Log: func(string, ...any) {}, Count: func(string) {},
 		TimeUntilOwned: func() time.Duration { return ownedIn },
 	}
 	s.Finder, s.Permitter = newFinder(s), newPermitter(s)
@@ -120,6 +120,7 @@
 		Transport: &transport.Transport{},
 		Protocol:  unusedProtocol{t}, Tracker: &tracker.Tracker{}, RetryBudget: unlimitedBudget{}, Clock: clock,
 		Log:            func(string, ...any) {},
+		Count:          func(string) {},
 		TimeUntilOwned: func() time.Duration { return 0 },
 	}
 	s.Finder, s.Permitter = newFinder(s), newPermitter(s)
