An attempt ends only once another replica goes on with the request

Cause: vm/sender cancelled an attempt 1.5 s after its last event and only then asked the retry budget and other engines. With the budget spent, or no engine free, the stream was cut with seconds left. Class: giving up what works before its replacement is there. Change: a stall starts a search beside the attempt. The attempt ends when another engine has begun to answer; if the engine goes on first, the search ends. Idempotent requests of plain services likewise wait for a replica until another one may be asked.

--- a/upstream/tracker/tracker.go
+++ b/upstream/tracker/tracker.go
@@ -98,6 +98,18 @@
 	defer t.mu.Unlock()
 	r := t.record(id)
 	r.inFlight = max(r.inFlight-1, 0)
+	r.avoid(now)
+}
+
+// RecordStall records that a request in flight receives nothing. The replica is then avoided as after RecordNoAnswer.
+func (t *Tracker) RecordStall(now time.Duration, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.record(id).avoid(now)
+}
+
+// avoid starts the next backoff.
+func (r *record) avoid(now time.Duration) {
 	r.backoff = min(max(2*r.backoff, initialBackoff), maxBackoff)
 	r.backoffUntil = now + r.backoff
 }
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -264,6 +264,9 @@
 // Take reports whether a retry is within the service's retry budget, and deducts it if so.
 func (b *retryLimiters) Take(service string) bool { return b.limiterFor(service).Take() }
 
+// Return gives back a retry that was taken and not made.
+func (b *retryLimiters) Return(service string) { b.limiterFor(service).Return() }
+
 func (b *retryLimiters) limiterFor(service string) *retrylimiter.RetryLimiter {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/vm/retrylimiter/retrylimiter.go
+++ b/vm/retrylimiter/retrylimiter.go
@@ -44,3 +44,10 @@
 	l.spent++
 	return true
 }
+
+// Return gives back a retry that was taken and not made.
+func (l *RetryLimiter) Return() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spent = max(l.spent-1, 0)
+}
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -19,8 +19,8 @@
 const (
 	// maxAdmissionRequests limits the engines at which admission is requested before one attempt.
 	maxAdmissionRequests = 3
-	// stallTimeout is how long an engine may send nothing, beyond the predicted wait for the first event, before a request that
-	// may be sent to another engine is cancelled. One decoding step at full batch size takes a quarter of it, and callers cancel
+	// stallTimeout is how long an engine may send nothing, beyond the predicted wait for the first event, before another engine is
+	// looked for. One decoding step at full batch size takes a quarter of it, and callers cancel
 	// a stalled stream after about twice as long.
 	stallTimeout = 1500 * time.Millisecond
 	// maxAdmissionsPerRequest limits the attempts of one request, including those that an engine refuses.
@@ -34,25 +34,32 @@
 // serveGeneration serves a request for a model: it obtains an admission to an engine and relays the stream, and repeats both at
 // another engine where a failed attempt may be retried.
 func (t *requestTask) serveGeneration(ctx context.Context) error {
-	relay := &streamRelay{out: t.out, lastEventID: t.request.LastEvent}
+	relay := newStreamRelay(t.out, t.request.LastEvent)
+	var a *attempt
 	for range maxAdmissionsPerRequest {
-		admission, replica, refusal := t.acquireAdmission(ctx)
-		if t.callerCtx.Err() != nil {
-			return ErrCallerDisconnected
+		if a == nil {
+			admission, replica, refusal := t.acquireAdmission(ctx)
+			if t.callerCtx.Err() != nil {
+				return ErrCallerDisconnected
+			}
+			if refusal != nil {
+				return t.interruptedIfStarted(relay, refusal)
+			}
+			a = newAttempt(ctx, replica, admission)
 		}
-		if refusal != nil {
-			return t.interruptedIfStarted(relay, refusal)
-		}
-		outcome := t.attempt(ctx, admission, replica, relay)
-		admission.Release()
+		outcome, next := t.runAttempt(ctx, a, relay)
+		a.end(nil)
+		t.markTried(a.replica.ID)
 		if outcome.done || t.callerCtx.Err() != nil {
+			t.discard(next)
 			return outcome.err
 		}
-		t.markTried(replica.ID)
-		if !outcome.notSent && !t.takeRetry(outcome.notRun) {
+		if next == nil && !outcome.notSent && !t.takeRetry(outcome.notRun) {
 			return t.resultAfterLastAttempt(ctx, relay, outcome)
 		}
+		a = next
 	}
+	t.discard(a)
 	return t.interruptedIfStarted(relay, t.refuse(http.StatusServiceUnavailable, "maximum number of engine attempts reached"))
 }
 
@@ -60,7 +67,7 @@
 func (t *requestTask) interruptedIfStarted(r *streamRelay, err error) error {
 	if r.headSent {
 		t.Count("stream_cut")
-		t.Log("stream cut", "request", t.request.ID, "last_event", r.lastEventID, "reason", err.Error(),
+		t.Log("stream cut", "request", t.request.ID, "last_event", r.lastEvent(), "reason", err.Error(),
 			"time_left_ms", (t.sendDeadline - t.Clock()).Milliseconds())
 		return ErrResponseInterrupted
 	}
@@ -244,46 +251,61 @@
 	err     error
 }
 
-// attempt sends the request to one engine and relays the events of its stream to the caller.
-func (t *requestTask) attempt(ctx context.Context, admission *requester.Admission, r fuchsiaspoke.Replica, relay *streamRelay) outcome {
-	started := t.Clock()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stallTimer := t.startStallTimer(admission, func() { cancel(errStalled) })
-	defer stallTimer.Stop()
-	t.Tracker.RecordStart(started, r.ID)
-	response, err := t.send(ctx, fuchsiaspoke.SendOptions{
-		Replica: r, TimeLeft: t.sendDeadline - started, Version: admission.Version, LastEvent: relay.lastEventID,
+// runAttempt sends the request to one engine, unless that was done, and relays the events of its stream to the caller. If the engine sends
+// nothing for too long, another one is looked for; the attempt that has begun there is returned as next.
+func (t *requestTask) runAttempt(ctx context.Context, a *attempt, relay *streamRelay) (result outcome, next *attempt) {
+	first := stallTimeout
+	if a.response == nil {
+		first += a.admission.Wait
+	}
+	watch := t.watchStall(ctx, a, first, findEngine(relay))
+	if failure := t.open(a, relay.lastEvent()); failure != nil {
+		result = *failure
+	} else {
+		result = t.relayStream(a, relay, watch.onData)
+	}
+	next = watch.end(t, result.done)
+	if next != nil && next.lastEvent != relay.lastEvent() {
+		// The stalled engine sent events while the other one began.
+		t.discard(next)
+		next = nil
+	}
+	return result, next
+}
+
+// open sends the request to the attempt's engine, unless that was done, and reads the head of the response. It returns the outcome of an
+// attempt that has failed by then.
+func (t *requestTask) open(a *attempt, lastEvent string) *outcome {
+	if a.response != nil {
+		return nil
+	}
+	a.started, a.lastEvent = t.Clock(), lastEvent
+	t.Tracker.RecordStart(a.started, a.replica.ID)
+	response, err := t.send(a.ctx, fuchsiaspoke.SendOptions{
+		Replica: a.replica, TimeLeft: t.sendDeadline - a.started, Version: a.admission.Version, LastEvent: lastEvent,
 	})
 	if err != nil {
-		t.recordSendFailure(ctx, r, started, err)
-		return outcome{err: err, notSent: notSent(err), done: t.callerCtx.Err() != nil}
+		t.recordSendFailure(a.ctx, a.replica, a.started, err)
+		return &outcome{err: err, notSent: notSent(err), done: t.callerCtx.Err() != nil}
+	}
+	info := t.interpretHead(a.replica, response)
+	if !info.NotRun && info.Forwardable && response.Status == http.StatusOK {
+		t.sendCount++
+		t.executed = true
+		a.response = response
+		return nil
 	}
 	defer response.Close()
-	info := t.interpretHead(r, response)
 	if info.NotRun {
-		return t.handleRefusal(admission, r, info, response)
+		return t.handleRefusal(a.admission, a.replica, info, response)
 	}
 	t.sendCount++
-	if !info.Forwardable || response.Status != http.StatusOK {
-		return t.handleFailure(r, started, info, response)
-	}
-	t.executed = true
-	return t.relayStream(ctx, response, admission, r, relay, started, stallTimer)
-}
-
-// startStallTimer starts the timer that cancels the attempt when the engine has sent nothing for too long. It has no effect on
-// a request that may not be sent to another engine.
-func (t *requestTask) startStallTimer(admission *requester.Admission, cancel func()) *time.Timer {
-	if !t.retryable() || t.sendCount+1 >= t.request.Route.MaxAttempts {
-		cancel = func() {}
-	}
-	return time.AfterFunc(admission.Wait+stallTimeout, cancel)
+	return t.handleFailure(a.replica, a.started, info, response)
 }
 
 // handleRefusal handles a response that says that the engine did not run the request. A misdirected request does not count
 // towards the route's maximum number of attempts.
-func (t *requestTask) handleRefusal(admission *requester.Admission, r fuchsiaspoke.Replica, info fuchsiaspoke.ResponseInfo, response *transport.Response) outcome {
+func (t *requestTask) handleRefusal(admission *requester.Admission, r fuchsiaspoke.Replica, info fuchsiaspoke.ResponseInfo, response *transport.Response) *outcome {
 	t.discardBody(response)
 	t.Tracker.RecordAnswer(t.Clock(), r.ID, 0, !info.Misdirected)
 	if info.Misdirected || response.Status == http.StatusServiceUnavailable {
@@ -293,22 +315,22 @@
 	if !info.Misdirected {
 		t.sendCount++
 	}
-	return outcome{notRun: true, status: response.Status}
+	return &outcome{notRun: true, status: response.Status}
 }
 
 // handleFailure handles a response that is neither a stream nor a refusal.
 func (t *requestTask) handleFailure(
 	r fuchsiaspoke.Replica, started time.Duration, info fuchsiaspoke.ResponseInfo, response *transport.Response,
-) outcome {
+) *outcome {
 	body, err := readBody(response)
 	t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
 	t.Tracker.RecordAnswer(t.Clock(), r.ID, t.Clock()-started, true)
 	t.Log("engine failed", "request", t.request.ID, "engine", r.ID, "status", response.Status, "usable", info.Forwardable)
 	t.executed = true
 	if err != nil || !info.Forwardable {
-		return outcome{err: errors.New("engine response could not be read or verified"), status: response.Status}
+		return &outcome{err: errors.New("engine response could not be read or verified"), status: response.Status}
 	}
-	return outcome{reply: &reply{status: response.Status, header: response.Header, body: body, failed: true}, status: response.Status}
+	return &outcome{reply: &reply{status: response.Status, header: response.Header, body: body, failed: true}, status: response.Status}
 }
 
 // discardBody reads and discards up to maxResponseBytes of the body, and logs a failed read. It leaves the response open.
@@ -318,41 +340,38 @@
 	}
 }
 
-// relayStream relays events to the caller until the stream ends or fails.
-func (t *requestTask) relayStream(
-	ctx context.Context, response *transport.Response, admission *requester.Admission, r fuchsiaspoke.Replica, relay *streamRelay,
-	started time.Duration, stallTimer *time.Timer,
-) outcome {
+// relayStream relays events to the caller until the stream ends or fails. It calls onData when data arrives.
+func (t *requestTask) relayStream(a *attempt, relay *streamRelay, onData func()) outcome {
 	first := true
 	firstEventTime := time.Duration(0)
-	err := relay.relayEvents(response, func() {
-		stallTimer.Reset(stallTimeout)
+	err := relay.relayEvents(a.response, func() {
+		onData()
 		if !first {
 			return
 		}
 		first = false
-		admission.Progress(false)
-		firstEventTime = t.Clock() - started
-		t.Observe(admission.Wait, firstEventTime)
-		t.Tracker.RecordAnswer(t.Clock(), r.ID, firstEventTime, false)
-		t.Tracker.RecordStart(t.Clock(), r.ID)
+		a.admission.Progress(false)
+		firstEventTime = t.Clock() - a.started
+		t.Observe(a.admission.Wait, firstEventTime)
+		t.Tracker.RecordAnswer(t.Clock(), a.replica.ID, firstEventTime, false)
+		t.Tracker.RecordStart(t.Clock(), a.replica.ID)
 	})
 	switch {
 	case err == nil:
-		t.Tracker.RecordEnd(r.ID)
-		t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
-		t.Log("stream complete", "request", t.request.ID, "engine", r.ID, "last_event", relay.lastEventID,
-			"took_ms", (t.Clock() - started).Milliseconds(), "wait_ms", (started - t.request.Arrived).Milliseconds(),
-			"first_ms", firstEventTime.Milliseconds(), "predicted_ms", admission.Wait.Milliseconds(),
+		t.Tracker.RecordEnd(a.replica.ID)
+		t.recordBodyEnd(a.replica, a.response.Framing(), bodyEnd(err))
+		t.Log("stream complete", "request", t.request.ID, "engine", a.replica.ID, "last_event", relay.lastEvent(),
+			"took_ms", (t.Clock() - a.started).Milliseconds(), "wait_ms", (a.started - t.request.Arrived).Milliseconds(),
+			"first_ms", firstEventTime.Milliseconds(), "predicted_ms", a.admission.Wait.Milliseconds(),
 			"longest_pause_ms", relay.longestPause.Milliseconds(),
 			"objective_ms", t.request.Route.Objective.Milliseconds(), "prompt_tokens", t.request.Demand.PromptTokens,
-			"framing", string(response.Framing()))
+			"framing", string(a.response.Framing()))
 		return outcome{done: true}
 	case errors.Is(err, ErrCallerDisconnected) || t.callerCtx.Err() != nil:
-		t.Tracker.RecordEnd(r.ID)
+		t.Tracker.RecordEnd(a.replica.ID)
 		return outcome{done: true, err: ErrCallerDisconnected}
 	}
-	t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
-	t.recordSendFailure(ctx, r, started, &fuchsiaspoke.SendError{Peer: r.Address, Step: "read stream", Cause: err})
+	t.recordBodyEnd(a.replica, a.response.Framing(), bodyEnd(err))
+	t.recordSendFailure(a.ctx, a.replica, a.started, &fuchsiaspoke.SendError{Peer: a.replica.Address, Step: "read stream", Cause: err})
 	return outcome{err: err}
 }
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -27,14 +28,27 @@
 type streamRelay struct {
 	out      responseWriter
 	headSent bool
-	// lastEventID is the ID of the last event that was sent to the caller.
-	lastEventID string
+	// lastEventID holds the ID of the last event that was sent to the caller; a search for another engine reads it meanwhile.
+	lastEventID atomic.Value
 	splitter    eventsplitter.Splitter
 	// lastSent is the time of the last write of events to the caller, and longestPause the longest time between two writes.
 	lastSent     time.Time
 	longestPause time.Duration
 }
 
+// newStreamRelay returns the relay of a stream whose caller has received the events up to lastEvent.
+func newStreamRelay(out responseWriter, lastEvent string) *streamRelay {
+	r := &streamRelay{out: out}
+	r.lastEventID.Store(lastEvent)
+	return r
+}
+
+// lastEvent returns the ID of the last event that was sent to the caller.
+func (r *streamRelay) lastEvent() string {
+	id, _ := r.lastEventID.Load().(string)
+	return id
+}
+
 // relayEvents relays the events of one attempt, and calls onData after each read that returns data.
 func (r *streamRelay) relayEvents(response *transport.Response, onData func()) error {
 	r.splitter = eventsplitter.Splitter{}
@@ -78,7 +92,7 @@
 	}
 	r.recordPause(time.Now())
 	if id := lastID(events); id != "" {
-		r.lastEventID = id
+		r.lastEventID.Store(id)
 	}
 	return nil
 }
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -30,7 +30,8 @@
 	minSendTime = 25 * time.Millisecond
 	// maxResponseBytes limits how much of a response that is not a stream is read.
 	maxResponseBytes = 16 << 20
-	// attemptObjectives is the timeout of an attempt that another one may follow, as a multiple of the route's latency objective.
+	// attemptObjectives is how long an attempt may last before another replica is looked for, as a multiple of the route's latency
+	// objective.
 	attemptObjectives = 2
 	// defaultRetryAfter is the Retry-After of requests that no replica ran.
 	defaultRetryAfter = 500 * time.Millisecond
@@ -46,8 +47,8 @@
 // Causes with which the VM itself ends an attempt.
 var (
 	errRequestTimeout = errors.New("the request's deadline or its route's timeout was reached")
-	errAttemptTimeout = errors.New("the attempt lasted longer than one that another may follow")
-	errStalled        = errors.New("the engine sent nothing for too long")
+	errStalled        = errors.New("the replica sent nothing for too long, and another one was found")
+	errNotNeeded      = errors.New("the stalled replica went on")
 	errCallerLeft     = errors.New("the caller left")
 )
 
@@ -69,6 +70,8 @@
 type retryBudget interface {
 	Add(service string)
 	Take(service string) bool
+	// Return gives back a retry that was not made.
+	Return(service string)
 }
 
 // responseWriter writes the response to the caller.
@@ -177,12 +180,12 @@
 		if len(ranked) == 0 || t.Clock() > t.sendDeadline-minSendTime {
 			return t.finalResponse(ctx, last, "no replica left to try before the deadline")
 		}
-		r, err := t.exchangeWhole(ctx, ranked[0])
+		r, stalled, err := t.attemptWhole(ctx, ranked[0])
 		t.markTried(ranked[0].ID)
 		if t.callerCtx.Err() != nil {
 			return ErrCallerDisconnected
 		}
-		if err == nil && (!r.failed || !t.takeRetry(r.notRun)) {
+		if err == nil && (!r.failed || !stalled && !t.takeRetry(r.notRun)) {
 			if r.notRun {
 				return t.refuse(r.status, "replica did not accept the request")
 			}
@@ -196,7 +199,7 @@
 			continue
 		}
 		t.outcomeUnknown = true
-		if !t.takeRetry(false) {
+		if !stalled && !t.takeRetry(false) {
 			return t.finalResponse(ctx, last, err.Error())
 		}
 	}
@@ -282,11 +285,29 @@
 	failed bool
 }
 
+// attemptWhole sends the request to one replica and reads the complete response. If that takes longer than an attempt that another one
+// may follow, it ends once another replica is found; the result then is stalled, and a retry has been deducted from the budget.
+func (t *requestTask) attemptWhole(ctx context.Context, r fuchsiaspoke.Replica) (response *reply, stalled bool, err error) {
+	a := newAttempt(ctx, r, nil)
+	defer a.end(nil)
+	watch := &stallWatch{}
+	if t.request.Route.Idempotent {
+		watch = t.watchStall(ctx, a, attemptObjectives*t.request.Route.Objective, findReplica)
+	}
+	response, err = t.exchangeWhole(a.ctx, r)
+	complete := err == nil && !response.failed
+	next := watch.end(t, complete)
+	if complete {
+		t.discard(next)
+		return response, false, nil
+	}
+	next.end(nil)
+	return response, next != nil, err
+}
+
 // exchangeWhole sends the request to one replica and reads the complete response. It returns an error if there is no complete
 // response to this request; its caller then sets outcomeUnknown unless the request was not sent.
 func (t *requestTask) exchangeWhole(ctx context.Context, r fuchsiaspoke.Replica) (*reply, error) {
-	ctx, cancel := t.withAttemptTimeout(ctx)
-	defer cancel()
 	started := t.Clock()
 	t.Tracker.RecordStart(started, r.ID)
 	response, err := t.send(ctx, fuchsiaspoke.SendOptions{Replica: r, TimeLeft: t.sendDeadline - started})
@@ -336,20 +357,19 @@
 	return body, nil
 }
 
-// withAttemptTimeout bounds an attempt that another one may follow.
-func (t *requestTask) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	if !t.request.Route.Idempotent || t.sendCount+1 >= t.request.Route.MaxAttempts {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeoutCause(ctx, attemptObjectives*t.request.Route.Objective, errAttemptTimeout)
-}
-
 // recordSendFailure logs the cause of a send without a complete response; ctx is that of the attempt. Unless the caller disconnected,
 // it also counts the failure against the replica and closes the idle connections to it.
 func (t *requestTask) recordSendFailure(ctx context.Context, r fuchsiaspoke.Replica, started time.Duration, err error) {
-	if t.callerCtx.Err() != nil {
+	switch {
+	case t.callerCtx.Err() != nil:
 		t.Tracker.RecordEnd(r.ID)
-	} else {
+	case errors.Is(context.Cause(ctx), errNotNeeded):
+		t.Tracker.RecordEnd(r.ID)
+	case errors.Is(context.Cause(ctx), errStalled):
+		// The stall was recorded when it began.
+		t.Tracker.RecordEnd(r.ID)
+		t.Transport.CloseIdle(r.Address)
+	default:
 		t.Tracker.RecordNoAnswer(t.Clock(), r.ID)
 		t.Transport.CloseIdle(r.Address)
 	}
--- a/vm/sender/sender_test.go
+++ b/vm/sender/sender_test.go
@@ -29,6 +29,7 @@
 
 func (unlimitedBudget) Add(string)       {}
 func (unlimitedBudget) Take(string) bool { return true }
+func (unlimitedBudget) Return(string)    {}
 
 // unusedWriter fails the test when a response is written.
 type unusedWriter struct{ t *testing.T }
