--- a/admitted_request.go
+++ b/admitted_request.go
@@ -24,8 +24,10 @@
 	Deadline time.Duration
 	// Priority is the priority of the request, computed from those of its client account and route; 0 is the highest.
 	Priority int
-	// LastEvent is the id of the last event that the caller received, if it resumes a stream.
+	// LastEvent is the id of the last event that the caller received, if it resumes a stream, and BegunBy the id of the attempt that
+	// brought the first one.
 	LastEvent string
+	BegunBy   string
 }
 
 // Demand is the model, adapter and number of tokens that a request needs from an engine.
@@ -51,7 +53,9 @@
 	// Key is the caller's API key; it is not passed on after admission.
 	Key       string
 	Demand    Demand
+	// LastEvent and BegunBy are as in AdmittedRequest.
 	LastEvent string
+	BegunBy   string
 	// TimeLeft is the time for which the caller still waits.
 	TimeLeft time.Duration
 	Body     []byte
--- a/contract/watcher/apply.go
+++ b/contract/watcher/apply.go
@@ -125,7 +125,7 @@
 	}
 	if !known || old.State != r.State || old.StartedAtMs != r.StartedAtMs || old.Address != r.Address {
 		w.Log("replica published", "replica", r.ID, "state", string(r.State), "address", r.Address, "born", r.StartedAtMs,
-			"revision", p.Revision.String())
+			"software", r.SoftwareVersion, "revision", p.Revision.String())
 	}
 	next.Replicas[p.Name] = r
 	delete(w.missingSince, p.Name)
--- a/replica.go
+++ b/replica.go
@@ -24,6 +24,8 @@
 	// OrderCount is the number of load and unload orders that the replica has accepted since its start.
 	OrderCount int64           `cbor:"8,keyasint"`
 	Models     []ResidentModel `cbor:"9,keyasint,omitempty"`
+	// SoftwareVersion is the version of the software of this process, not of the weights that it holds.
+	SoftwareVersion string `cbor:"10,keyasint,omitempty"`
 }
 
 // ResidentModel is a base model loaded at a replica, with its resident adapters.
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -35,6 +35,10 @@
 // another engine where a failed attempt may be retried.
 func (t *requestTask) serveGeneration(ctx context.Context) error {
 	relay := newStreamRelay(t.out, t.request.LastEvent)
+	if t.request.LastEvent != "" {
+		t.Count("stream_resumed_by_caller")
+		t.Log("stream resumed by its caller", "request", t.request.ID, "begun_by", t.request.BegunBy, "last_event", t.request.LastEvent)
+	}
 	var a *attempt
 	for range maxAdmissionsPerRequest {
 		if a == nil {
@@ -194,14 +198,15 @@
 		var admission *requester.Admission
 		if admission, err = t.Requester.Request(ctx, t.admissionRequest(choice, maxWait), choice.Owner); err == nil {
 			t.Log("place granted", "request", t.request.ID, "engine", choice.Replica.ID, "adapter", t.request.Demand.Adapter,
-				"predicted_ms", choice.EstimatedWait.Milliseconds(), "resident", choice.Resident)
+				"software", choice.Replica.SoftwareVersion, "predicted_ms", choice.EstimatedWait.Milliseconds(), "resident", choice.Resident)
 			return admission, nil
 		}
 		t.Log("place refused", "request", t.request.ID, "engine", choice.Replica.ID, "adapter", t.request.Demand.Adapter,
 			"predicted_ms", choice.EstimatedWait.Milliseconds(), "limit_ms", maxWait.Milliseconds(), "error", err.Error())
 	}
 	if errors.Is(err, requester.ErrNoOwner) && t.servableWithoutOwner(choice) && ctx.Err() == nil {
-		t.Log("place without a holder", "request", t.request.ID, "engine", choice.Replica.ID, "adapter", t.request.Demand.Adapter)
+		t.Log("place without a holder", "request", t.request.ID, "engine", choice.Replica.ID, "adapter", t.request.Demand.Adapter,
+			"software", choice.Replica.SoftwareVersion)
 		return admissionWithoutOwner(choice), nil
 	}
 	return nil, err
