--- a/admitted_request.go
+++ b/admitted_request.go
@@ -51,8 +51,8 @@
 	Host string
 	Path string
 	// Key is the caller's API key; it is not passed on after admission.
-	Key       string
-	Demand    Demand
+	Key    string
+	Demand Demand
 	// LastEvent and BegunBy are as in AdmittedRequest.
 	LastEvent string
 	BegunBy   string
