Streams go on only at the software version that began them

Cause: nothing in the VM knew a replica's software version. The rest of a stream was placed like a new request, by the VM that resumed it and by the VM at which its caller took it up. Class: a continuation handled as a beginning; what it depends on was not carried along. Ruled out: one id with two versions. Change: the position of a stream holds its software version, asked at each way to go on (resume, stall, caller's resume, plain services). zone/registrar tells at which version a caller's stream began: own records, records at three other VMs while versions are mixed, or that the service had one version. Unknown is refused as not run. A resumed stream also goes to the service that began it, where a route is split.

--- a/refusal.go
+++ b/refusal.go
@@ -41,6 +41,7 @@
 	CodeAnswerMismatch      RefusalCode = "answer_mismatch"
 	CodeAdapterLoadFailed   RefusalCode = "adapter_load_failed"
 	CodeProfileVersionMoved RefusalCode = "profile_version_moved"
+	CodeNotResumable        RefusalCode = "stream_not_resumable"
 )
 
 // Refusal is an error response that this system, not the upstream, gives to a caller.
--- a/vm/authorizer/authorizer.go
+++ b/vm/authorizer/authorizer.go
@@ -2,6 +2,7 @@
 package authorizer
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -53,7 +54,7 @@
 	}
 	now := a.Clock()
 	admitted := fuchsiaspoke.AdmittedRequest{
-		ID: r.ID, Account: account.Name, Route: route, Service: selectService(route, r.ID), Demand: r.Demand,
+		ID: r.ID, Account: account.Name, Route: route, Service: selectService(route, cmp.Or(r.BegunBy, r.ID)), Demand: r.Demand,
 		Arrived: now, Due: now + route.Objective, Deadline: now + r.TimeLeft, Priority: priorityRank(account, route),
 		LastEvent: r.LastEvent, BegunBy: r.BegunBy,
 	}
@@ -102,7 +103,8 @@
 	return rank
 }
 
-// selectService picks one of the services of a route by weight, drawn from a hash of the request ID.
+// selectService picks one of the services of a route by weight, drawn from a hash of the id of the attempt with which the request began,
+// so that a resumed stream goes to the service that began it.
 func selectService(route fuchsiaspoke.ServiceRoute, id string) string {
 	total := 0.0
 	for _, t := range route.Targets {
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -34,6 +34,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/heartbeater"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/membership"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/registrar"
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 )
@@ -94,6 +95,7 @@
 	timer          timer.Timer
 	incarnation    string
 	watcher        *watcher.Watcher
+	registrar      *registrar.Registrar
 	rateLimiter    ratelimiter.RateLimiter
 	membership     membership.Membership
 	exchanger      exchanger.Exchanger
@@ -146,10 +148,11 @@
 	accepting := make(chan error, 1)
 	go func() { accepting <- e.newAcceptor().Serve(ctx, quicTransport) }()
 	watching := e.watcher.Run(ctx)
+	registering := e.registrar.Run(ctx)
 	done := make(chan error, 1)
 	go func() {
 		e.manageEngines(ctx)
-		for _, end := range []<-chan error{heartbeating, watching, accepting} {
+		for _, end := range []<-chan error{heartbeating, watching, accepting, registering} {
 			e.logFailure(<-end)
 		}
 		e.background.Wait()
@@ -210,9 +213,13 @@
 	}
 	e.retryLimiters = retryLimiters{ratio: e.Bounds.RetryRatio, slack: e.Bounds.RetrySlack, vmCount: e.fleetSize}
 	e.authorizer = &authorizer.Authorizer{Published: e.watcher.Published, RateLimiter: &e.rateLimiter, Clock: e.timer.Now}
+	e.registrar = &registrar.Registrar{
+		Self: e.VM, FirstStart: e.FirstStart, VMs: e.recordKeepers, Published: e.watcher.Published, Dialer: e.dialer, Clock: e.timer.Now, Log: e.Log,
+		Count: e.CountEvent,
+	}
 	e.sender = &sender.Sender{
 		Published: e.watcher.Published, Transport: &e.transport, Protocol: e.Platform.Replicas, Requester: e.requester,
-		Finder: e.finder, Tracker: &e.tracker, Permitter: e.permitter, RetryBudget: &e.retryLimiters, Clock: e.timer.Now,
+		Finder: e.finder, Origins: e.registrar, Tracker: &e.tracker, Permitter: e.permitter, RetryBudget: &e.retryLimiters, Clock: e.timer.Now,
 		Log: e.Log, Observe: e.Observe, ObserveBodyEnd: e.ObserveBodyEnd,
 		Count: e.CountEvent, TimeUntilOwned: e.timeUntilOwned,
 	}
@@ -240,6 +247,8 @@
 	a.Handle(requester.MethodProgress, e.requester.ServeProgress)
 	a.Handle(methodPublished, e.servePublished)
 	a.Handle(finder.MethodRank, e.finder.Serve)
+	a.Handle(registrar.MethodRecord, e.registrar.ServeRecord)
+	a.Handle(registrar.MethodOrigin, e.registrar.ServeOrigin)
 	return a
 }
 
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -184,6 +184,18 @@
 	return rankedHigher < minReaders+readyHubs/hubsPerReader
 }
 
+// recordKeepers returns the VMs that may keep records of streams: the hubs that are reachable, and this VM.
+func (e *Entry) recordKeepers() []fuchsiaspoke.VM {
+	out := []fuchsiaspoke.VM{e.VM}
+	hubs := e.exchanger.Role().Hubs
+	for _, p := range e.membership.Reachable(e.timer.Now()) {
+		if hubs[p.VM.ID] {
+			out = append(out, p.VM)
+		}
+	}
+	return out
+}
+
 // hubsToAsk returns the hubs that rank engines for this VM; none on a hub.
 func (e *Entry) hubsToAsk() []fuchsiaspoke.VM {
 	var out []fuchsiaspoke.VM
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -34,15 +35,11 @@
 // serveGeneration serves a request for a model: it obtains an admission to an engine and relays the stream, and repeats both at
 // another engine where a failed attempt may be retried.
 func (t *requestTask) serveGeneration(ctx context.Context) error {
-	relay := newStreamRelay(t.out, t.request.LastEvent)
-	if t.request.LastEvent != "" {
-		t.Count("stream_resumed_by_caller")
-		t.Log("stream resumed by its caller", "request", t.request.ID, "begun_by", t.request.BegunBy, "last_event", t.request.LastEvent)
-	}
+	relay := newStreamRelay(t.out, t.resumed, t.recordOrigin)
 	var a *attempt
 	for range maxAdmissionsPerRequest {
 		if a == nil {
-			admission, replica, refusal := t.acquireAdmission(ctx)
+			admission, replica, refusal := t.acquireAdmission(ctx, relay.position.Load())
 			if t.callerCtx.Err() != nil {
 				return ErrCallerDisconnected
 			}
@@ -98,13 +95,13 @@
 
 // acquireAdmission requests admission to engines by predicted wait, shortest first. Each request carries a limit, the wait up to
 // which no other engine is predicted to be faster, and is declined where the wait is longer. If no request is granted, the one
-// that was declined last is repeated without a limit.
-func (t *requestTask) acquireAdmission(ctx context.Context) (*requester.Admission, fuchsiaspoke.Replica, error) {
+// that was declined last is repeated without a limit. A stream that has begun goes on at engines of its software version alone.
+func (t *requestTask) acquireAdmission(ctx context.Context, position *streamPosition) (*requester.Admission, fuchsiaspoke.Replica, error) {
 	var earliest *fuchsiaspoke.Refusal
 	var lastDeclined selector.Choice
 	declinedWait := time.Duration(0)
 	requested, anyOwned := 0, false
-	choices := t.delayPaused(t.Finder.Find(ctx, t.request.Service, t.request.Demand, t.triedReplicas))
+	choices := t.delayPaused(t.Finder.Find(ctx, t.request.Service, t.request.Demand, t.excludedEngines(position)))
 	for i, choice := range choices {
 		if requested >= maxAdmissionRequests || ctx.Err() != nil {
 			break
@@ -140,6 +137,25 @@
 	return nil, fuchsiaspoke.Replica{}, t.refuseWithoutAdmission(earliest, anyOwned)
 }
 
+// excludedEngines returns the engines that may not be sent to: those that were tried, and those of other software versions than that of
+// a stream that has begun.
+func (t *requestTask) excludedEngines(position *streamPosition) map[string]bool {
+	if position == nil {
+		return t.triedReplicas
+	}
+	out := maps.Clone(t.triedReplicas)
+	for _, r := range t.Published().ReadyReplicas(t.request.Service) {
+		if position.mayGoOnAt(r) {
+			continue
+		}
+		if out == nil {
+			out = make(map[string]bool)
+		}
+		out[r.ID] = true
+	}
+	return out
+}
+
 // delayPaused adds to the estimated waits of engines that have asked this VM to pause the rest of their pauses, so that a request moves
 // to another engine only where it is served sooner. If all have asked for one, it returns none: no request waits then.
 func (t *requestTask) delayPaused(choices []selector.Choice) []selector.Choice {
@@ -180,7 +196,7 @@
 	ctx context.Context, choice selector.Choice, maxWait time.Duration,
 ) (*requester.Admission, error) {
 	admission, err := t.requestAdmission(ctx, choice, maxWait)
-	if err != nil || t.Permitter.MaySend(choice.Replica) {
+	if err != nil || t.Permitter.MaySend(choice.Replica) && isSameProcess(admission, choice.Replica) {
 		return admission, err
 	}
 	admission.Release()
@@ -188,6 +204,12 @@
 	return nil, errReplicaNotReady
 }
 
+// isSameProcess reports whether the engine's owner knows no other process of the engine than the published one, whose software version
+// may be another.
+func isSameProcess(a *requester.Admission, r fuchsiaspoke.Replica) bool {
+	return a.Incarnation.StartedAtMs == 0 || r.StartedAtMs == 0 || a.Incarnation.StartedAtMs == r.StartedAtMs
+}
+
 // requestAdmission requests admission from the engine's owner. If the engine has no owner, the request may still use a model or
 // adapter that is already loaded.
 func (t *requestTask) requestAdmission(
@@ -264,13 +286,13 @@
 		first += a.admission.Wait
 	}
 	watch := t.watchStall(ctx, a, first, findEngine(relay))
-	if failure := t.open(a, relay.lastEvent()); failure != nil {
+	if failure := t.open(a, relay.position.Load()); failure != nil {
 		result = *failure
 	} else {
 		result = t.relayStream(a, relay, watch.onData)
 	}
 	next = watch.end(t, result.done)
-	if next != nil && next.lastEvent != relay.lastEvent() {
+	if next != nil && next.position != relay.position.Load() {
 		// The stalled engine sent events while the other one began.
 		t.discard(next)
 		next = nil
@@ -280,11 +302,15 @@
 
 // open sends the request to the attempt's engine, unless that was done, and reads the head of the response. It returns the outcome of an
 // attempt that has failed by then.
-func (t *requestTask) open(a *attempt, lastEvent string) *outcome {
+func (t *requestTask) open(a *attempt, position *streamPosition) *outcome {
 	if a.response != nil {
 		return nil
 	}
-	a.started, a.lastEvent = t.Clock(), lastEvent
+	a.started, a.position = t.Clock(), position
+	lastEvent := ""
+	if position != nil {
+		lastEvent = position.lastEvent
+	}
 	t.Tracker.RecordStart(a.started, a.replica.ID)
 	response, err := t.send(a.ctx, fuchsiaspoke.SendOptions{
 		Replica: a.replica, TimeLeft: t.sendDeadline - a.started, Version: a.admission.Version, LastEvent: lastEvent,
@@ -349,7 +375,7 @@
 func (t *requestTask) relayStream(a *attempt, relay *streamRelay, onData func()) outcome {
 	first := true
 	firstEventTime := time.Duration(0)
-	err := relay.relayEvents(a.response, func() {
+	err := relay.relayEvents(a.response, a.replica.SoftwareVersion, func() {
 		onData()
 		if !first {
 			return
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net/http"
 	"strings"
@@ -28,30 +29,47 @@
 type streamRelay struct {
 	out      responseWriter
 	headSent bool
-	// lastEventID holds the ID of the last event that was sent to the caller; a search for another engine reads it meanwhile.
-	lastEventID atomic.Value
-	splitter    eventsplitter.Splitter
+	// position is where the stream stands; nil until its first event was sent. A search for another engine reads it meanwhile.
+	position atomic.Pointer[streamPosition]
+	// softwareVersion is that of the engine whose events are relayed.
+	softwareVersion string
+	// onBegin is called with the software version before the first event is sent.
+	onBegin  func(softwareVersion string)
+	splitter eventsplitter.Splitter
 	// lastSent is the time of the last write of events to the caller, and longestPause the longest time between two writes.
 	lastSent     time.Time
 	longestPause time.Duration
 }
 
-// newStreamRelay returns the relay of a stream whose caller has received the events up to lastEvent.
-func newStreamRelay(out responseWriter, lastEvent string) *streamRelay {
-	r := &streamRelay{out: out}
-	r.lastEventID.Store(lastEvent)
+// streamPosition is the ID of the last event that the caller has received, and the software version that made the events.
+type streamPosition struct {
+	lastEvent       string
+	softwareVersion string
+}
+
+// mayGoOnAt reports whether a stream may go on at a replica: one that has not begun at any, another at its software version alone.
+func (p *streamPosition) mayGoOnAt(r fuchsiaspoke.Replica) bool {
+	return p == nil || p.softwareVersion == r.SoftwareVersion
+}
+
+// newStreamRelay returns the relay of a stream that the caller resumes at a position, or that begins where it is nil.
+func newStreamRelay(out responseWriter, resumed *streamPosition, onBegin func(string)) *streamRelay {
+	r := &streamRelay{out: out, onBegin: onBegin}
+	r.position.Store(resumed)
 	return r
 }
 
 // lastEvent returns the ID of the last event that was sent to the caller.
 func (r *streamRelay) lastEvent() string {
-	id, _ := r.lastEventID.Load().(string)
-	return id
+	if p := r.position.Load(); p != nil {
+		return p.lastEvent
+	}
+	return ""
 }
 
 // relayEvents relays the events of one attempt, and calls onData after each read that returns data.
-func (r *streamRelay) relayEvents(response *transport.Response, onData func()) error {
-	r.splitter = eventsplitter.Splitter{}
+func (r *streamRelay) relayEvents(response *transport.Response, softwareVersion string, onData func()) error {
+	r.splitter, r.softwareVersion = eventsplitter.Splitter{}, softwareVersion
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Read(buffer)
@@ -86,14 +104,15 @@
 	if len(events) == 0 {
 		return nil
 	}
+	if r.position.Load() == nil {
+		r.onBegin(r.softwareVersion)
+	}
 	r.sendHead(response)
 	if err := r.out.Body(events); err != nil {
 		return ErrCallerDisconnected
 	}
 	r.recordPause(time.Now())
-	if id := lastID(events); id != "" {
-		r.lastEventID.Store(id)
-	}
+	r.position.Store(&streamPosition{lastEvent: cmp.Or(lastID(events), r.lastEvent()), softwareVersion: r.softwareVersion})
 	return nil
 }
 
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -67,6 +67,14 @@
 	Find(ctx context.Context, service string, d fuchsiaspoke.Demand, tried map[string]bool) []selector.Choice
 }
 
+// origins knows at which software version streams began.
+type origins interface {
+	// Record notes the origin of the stream that an attempt began, which its caller may resume for the time ttl.
+	Record(begunBy string, origin fuchsiaspoke.StreamOrigin, ttl time.Duration)
+	// Find returns the software version at which a stream of the service began, and whether it is known.
+	Find(ctx context.Context, begunBy, service string) (version string, known bool)
+}
+
 type retryBudget interface {
 	Add(service string)
 	Take(service string) bool
@@ -89,6 +97,7 @@
 	Protocol    protocol
 	Requester   *requester.Requester
 	Finder      engineFinder
+	Origins     origins
 	Tracker     *tracker.Tracker
 	Permitter   *permitter.Permitter
 	RetryBudget retryBudget
@@ -113,6 +122,9 @@
 	inner, cancel := context.WithTimeoutCause(ctx, max(limit-s.Clock(), 0), errRequestTimeout)
 	defer cancel()
 	t := &requestTask{Sender: s, request: req, message: m, out: out, sendDeadline: limit, callerCtx: ctx}
+	if refusal := t.findOrigin(inner); refusal != nil {
+		return refusal
+	}
 	if req.Demand.Model != "" && s.isEngineService(req.Service) {
 		return t.serveGeneration(inner)
 	}
@@ -124,10 +136,46 @@
 	return c != nil && c.Services[name].Engine != nil
 }
 
+// findOrigin finds the software version at which a stream began that the caller resumes. It refuses the request if that is unknown:
+// what two software versions make of one stream doesn't fit together.
+func (t *requestTask) findOrigin(ctx context.Context) error {
+	if t.request.LastEvent == "" {
+		return nil
+	}
+	t.Count("stream_resumed_by_caller")
+	t.Log("stream resumed by its caller", "request", t.request.ID, "begun_by", t.request.BegunBy, "last_event", t.request.LastEvent)
+	version, known := t.Origins.Find(ctx, t.request.BegunBy, t.request.Service)
+	if known {
+		t.resumed = &streamPosition{lastEvent: t.request.LastEvent, softwareVersion: version}
+		t.recordOrigin(version)
+		return nil
+	}
+	return fuchsiaspoke.Refusal{
+		Code: fuchsiaspoke.CodeNotResumable, Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable,
+		Message: "the software version at which the stream began is not known; send the request anew from its beginning",
+	}.WithRetryAfter(defaultRetryAfter)
+}
+
+// recordOrigin notes the software version at which the request's stream began.
+func (t *requestTask) recordOrigin(softwareVersion string) {
+	if !t.request.Route.Streaming || !t.request.Route.Resumable {
+		return
+	}
+	begunBy := t.request.ID
+	if t.request.LastEvent != "" {
+		begunBy = t.request.BegunBy
+	}
+	if begunBy == "" {
+		return
+	}
+	origin := fuchsiaspoke.StreamOrigin{Service: t.request.Service, SoftwareVersion: softwareVersion}
+	t.Origins.Record(begunBy, origin, t.request.Deadline-t.Clock())
+}
+
 // untriedReplicas returns the replicas of the request's service that may be sent to now and were not tried yet.
 func (t *requestTask) untriedReplicas() []fuchsiaspoke.Replica {
 	return slices.DeleteFunc(t.Permitter.Ready(t.request.Service), func(r fuchsiaspoke.Replica) bool {
-		return t.triedReplicas[r.ID]
+		return t.triedReplicas[r.ID] || !t.resumed.mayGoOnAt(r)
 	})
 }
 
@@ -147,6 +195,8 @@
 	outcomeUnknown bool
 	// executed is set once a replica has responded without saying that it did not run the request.
 	executed bool
+	// resumed is where the stream stands that the caller resumes; nil if it begins.
+	resumed *streamPosition
 }
 
 // retryable reports whether the request may be sent again after a replica may have run it.
@@ -268,6 +318,9 @@
 }
 
 func (t *requestTask) writeReply(r *reply) error {
+	if t.resumed == nil && isEventStream(r.header) {
+		t.recordOrigin(r.softwareVersion)
+	}
 	t.out.Head(r.status, r.header, len(r.body))
 	if err := t.out.Body(r.body); err != nil {
 		return ErrCallerDisconnected
@@ -281,6 +334,8 @@
 	header http.Header
 	body   []byte
 	notRun bool
+	// softwareVersion is that of the replica.
+	softwareVersion string
 	// failed replies are retried where a retry is allowed.
 	failed bool
 }
@@ -336,7 +391,9 @@
 	t.executed = t.executed || !info.NotRun
 	t.Log("replica answered", "request", t.request.ID, "replica", r.ID, "status", response.Status, "not_run", info.NotRun,
 		"took_ms", (t.Clock() - started).Milliseconds(), "framing", string(response.Framing()))
-	return &reply{response.Status, response.Header, body, info.NotRun, failed}, nil
+	return &reply{
+		status: response.Status, header: response.Header, body: body, notRun: info.NotRun, softwareVersion: r.SoftwareVersion, failed: failed,
+	}, nil
 }
 
 // readBody reads a whole body. It fails if the body is longer than maxResponseBytes, or an event stream that ended inside an event.
--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -20,10 +20,10 @@
 	replica fuchsiaspoke.Replica
 	// admission is nil for plain services.
 	admission *requester.Admission
-	// response is nil until its head was read. It goes on after the event lastEvent.
-	response  *transport.Response
-	lastEvent string
-	started   time.Duration
+	// response is nil until its head was read. It goes on from position, which is nil where the stream begins.
+	response *transport.Response
+	position *streamPosition
+	started  time.Duration
 	// stopSearch ends the context of the search that found the attempt; nil if there was none.
 	stopSearch context.CancelCauseFunc
 }
@@ -174,7 +174,7 @@
 func findEngine(r *streamRelay) finder {
 	return func(ctx context.Context, t *requestTask, lastTry <-chan struct{}) *attempt {
 		for ctx.Err() == nil {
-			if next := t.resumeAtOther(ctx, r.lastEvent()); next != nil {
+			if next := t.resumeAtOther(ctx, r.position.Load()); next != nil {
 				return next
 			}
 			if !sleepUnless(ctx, lastTry) {
@@ -186,18 +186,18 @@
 }
 
 // resumeAtOther sends the request to another engine, if one admits it and the retry budget allows it, and reads the head of the response.
-func (t *requestTask) resumeAtOther(ctx context.Context, lastEvent string) *attempt {
+func (t *requestTask) resumeAtOther(ctx context.Context, position *streamPosition) *attempt {
 	if !t.takeRetry(false) {
 		return nil
 	}
-	admission, replica, refusal := t.acquireAdmission(ctx)
+	admission, replica, refusal := t.acquireAdmission(ctx, position)
 	if refusal != nil {
 		t.RetryBudget.Return(t.request.Service)
 		return nil
 	}
 	a := newAttempt(ctx, replica, admission)
 	t.markTried(replica.ID)
-	if failure := t.open(a, lastEvent); failure != nil {
+	if failure := t.open(a, position); failure != nil {
 		a.end(nil)
 		return nil
 	}
--- /dev/null
+++ b/zone/registrar/registrar.go
@@ -0,0 +1,285 @@
+// Package registrar knows at which software version each stream began, also of streams that another VM began.
+//
+// A VM remembers the streams that it begins. While a service has several software versions, it also tells a few other VMs, chosen by the
+// stream's key, so that the origin outlives the VM.
+package registrar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/historian"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/recordkeeper"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// MethodRecord is the link method that tells another VM of streams, and MethodOrigin the one that asks for the origin of one.
+	MethodRecord = "stream.record"
+	MethodOrigin = "stream.origin"
+
+	// keepers is the number of VMs that keep a record, in different availability zones where there are as many.
+	keepers = 3
+	// maxAskedVMs bounds the VMs that are asked for a record. In a fleet of up to as many, the VM that began the stream is among them.
+	maxAskedVMs = 12
+	// sendInterval is the time between two deliveries of records, after whose loss the last streams of a VM are unknown.
+	sendInterval = 100 * time.Millisecond
+	// recordTimeout bounds one delivery, and originTimeout the question for a record, for which a caller waits.
+	recordTimeout = 500 * time.Millisecond
+	originTimeout = 250 * time.Millisecond
+	// maxUnsent bounds the records that wait for delivery. They wait as long as a service has one software version.
+	maxUnsent = 4096
+)
+
+type dialer interface {
+	Call(ctx context.Context, vm fuchsiaspoke.VM, method string, request any, receive func(cbor.RawMessage) error) error
+}
+
+// Registrar answers at which software version streams began. Its exported fields must be set before the first call.
+type Registrar struct {
+	Self fuchsiaspoke.VM
+	// FirstStart means that no VM of the fleet has run before.
+	FirstStart bool
+	// VMs returns the VMs, this one included, among which the keepers of records are chosen.
+	VMs       func() []fuchsiaspoke.VM
+	Published func() *fuchsiaspoke.PublishedState
+	Dialer    dialer
+	Clock     func() time.Duration
+	Log       func(event string, keysAndValues ...any)
+	// Count counts an event by its name.
+	Count func(event string)
+
+	history historian.Historian
+	records recordkeeper.RecordKeeper
+
+	mu     sync.Mutex
+	unsent []unsentRecord
+}
+
+// unsentRecord is a record of this VM that was not told to others yet.
+type unsentRecord struct {
+	fuchsiaspoke.StreamRecord
+	expiresAt time.Duration
+}
+
+// Record notes the origin of the stream that an attempt of a caller began; the caller may resume it for the time ttl.
+func (r *Registrar) Record(begunBy string, origin fuchsiaspoke.StreamOrigin, ttl time.Duration) {
+	now := r.Clock()
+	record := fuchsiaspoke.StreamRecord{Key: fuchsiaspoke.NewStreamKey(begunBy), Origin: origin, TTL: ttl}
+	r.records.Put(now, record)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unsent = append(r.unsent, unsentRecord{record, now + ttl})
+	if len(r.unsent) > maxUnsent {
+		r.unsent = r.unsent[1:]
+	}
+}
+
+// Find returns the software version at which a stream of the service began, and whether it is known. begunBy is the attempt that the
+// caller names; it may be empty.
+func (r *Registrar) Find(ctx context.Context, begunBy, service string) (version string, known bool) {
+	version, source := r.find(ctx, begunBy, service)
+	if source == "" {
+		r.Count("stream_origin_unknown")
+	}
+	r.Log("stream origin", "begun_by", begunBy, "service", service, "software", version, "known_from", source)
+	return version, source != ""
+}
+
+// find returns the software version and how it is known; an empty source means that it isn't.
+func (r *Registrar) find(ctx context.Context, begunBy, service string) (version, source string) {
+	now := r.Clock()
+	key := fuchsiaspoke.NewStreamKey(begunBy)
+	if origin, known := r.records.Get(now, key); known && begunBy != "" {
+		return versionOf(origin, service, "own_record")
+	}
+	only, certain := r.history.Only(now, service)
+	if certain {
+		return only, "only_version"
+	}
+	replies := r.ask(ctx, fuchsiaspoke.StreamQuery{Key: key, Service: service})
+	for _, reply := range replies {
+		if reply.Known && begunBy != "" {
+			return versionOf(reply.Origin, service, "record_of_another_vm")
+		}
+	}
+	if r.history.Mixed(now, service) {
+		return "", ""
+	}
+	for _, reply := range replies {
+		if reply.SingleVersion && reply.OnlyVersion == only {
+			return only, "only_version_of_another_vm"
+		}
+	}
+	if len(r.Published().Replicas) > 0 && !r.anyStartedLately(service) {
+		return only, "no_new_replica"
+	}
+	return "", ""
+}
+
+// versionOf returns the software version of a recorded origin, unless the stream began at another service.
+func versionOf(o fuchsiaspoke.StreamOrigin, service, source string) (string, string) {
+	if o.Service != service {
+		return "", ""
+	}
+	return o.SoftwareVersion, source
+}
+
+// anyStartedLately reports whether a replica of the service is so young that its software version may be new.
+func (r *Registrar) anyStartedLately(service string) bool {
+	since := time.Now().Add(-historian.StreamLifetime).UnixMilli()
+	for _, replica := range r.Published().Replicas {
+		if replica.Service == service && replica.StartedAtMs > since {
+			return true
+		}
+	}
+	return false
+}
+
+// ask asks other VMs at once, and returns the replies that come within originTimeout, up to the first that knows the stream.
+func (r *Registrar) ask(ctx context.Context, q fuchsiaspoke.StreamQuery) []fuchsiaspoke.StreamReply {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	vms := r.othersFor(q.Key, maxAskedVMs)
+	replies := make(chan *fuchsiaspoke.StreamReply, len(vms))
+	for _, vm := range vms {
+		go func() { replies <- r.askVM(ctx, vm, q) }()
+	}
+	var out []fuchsiaspoke.StreamReply
+	for range vms {
+		reply := <-replies
+		if reply == nil {
+			continue
+		}
+		out = append(out, *reply)
+		if reply.Known {
+			break
+		}
+	}
+	return out
+}
+
+// askVM returns a VM's reply, or nil without one.
+func (r *Registrar) askVM(ctx context.Context, vm fuchsiaspoke.VM, q fuchsiaspoke.StreamQuery) *fuchsiaspoke.StreamReply {
+	var reply fuchsiaspoke.StreamReply
+	err := r.Dialer.Call(ctx, vm, MethodOrigin, q, func(raw cbor.RawMessage) error { return cbor.Unmarshal(raw, &reply) })
+	if err == nil {
+		return &reply
+	}
+	if !errors.Is(err, context.Canceled) {
+		r.Log("stream origin not told", "peer", vm.ID, "error", err.Error())
+	}
+	return nil
+}
+
+// othersFor returns up to n VMs but this one, first the keepers of the key.
+func (r *Registrar) othersFor(key fuchsiaspoke.StreamKey, n int) []fuchsiaspoke.VM {
+	vms := r.VMs()
+	byID := make(map[string]fuchsiaspoke.VM, len(vms))
+	for _, vm := range vms {
+		byID[vm.ID] = vm
+	}
+	var out []fuchsiaspoke.VM
+	for _, id := range (ranker.Ranker{}).SelectAcrossZones(string(key[:]), vms, n) {
+		if id != r.Self.ID {
+			out = append(out, byID[id])
+		}
+	}
+	return out
+}
+
+// Run follows the published software versions and delivers records until the context ends, and then sends the context's error on the
+// channel.
+func (r *Registrar) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	r.history.FirstStart = r.FirstStart
+	go func() {
+		t := time.NewTicker(sendInterval)
+		defer t.Stop()
+		var deliveries sync.WaitGroup
+		for {
+			select {
+			case <-ctx.Done():
+				deliveries.Wait()
+				done <- ctx.Err()
+				return
+			case <-t.C:
+				r.history.Observe(r.Clock(), r.Published())
+				for vm, records := range r.due() {
+					deliveries.Go(func() { r.deliver(ctx, vm, records) })
+				}
+			}
+		}
+	}()
+	return done
+}
+
+// due takes the records out of unsent that are to be told now, by the VM that keeps them. Those of services with one software version
+// wait: they are told once there is another.
+func (r *Registrar) due() map[fuchsiaspoke.VM][]fuchsiaspoke.StreamRecord {
+	now := r.Clock()
+	out := make(map[fuchsiaspoke.VM][]fuchsiaspoke.StreamRecord)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var waiting []unsentRecord
+	mixed := make(map[string]bool)
+	for _, u := range r.unsent {
+		isMixed, known := mixed[u.Origin.Service]
+		if !known {
+			isMixed = r.history.Mixed(now, u.Origin.Service)
+			mixed[u.Origin.Service] = isMixed
+		}
+		switch {
+		case u.expiresAt < now:
+		case !isMixed:
+			waiting = append(waiting, u)
+		default:
+			u.TTL = u.expiresAt - now
+			for _, vm := range r.othersFor(u.Key, keepers) {
+				out[vm] = append(out[vm], u.StreamRecord)
+			}
+		}
+	}
+	r.unsent = waiting
+	return out
+}
+
+// deliver tells another VM of streams.
+func (r *Registrar) deliver(ctx context.Context, vm fuchsiaspoke.VM, records []fuchsiaspoke.StreamRecord) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	if err := r.Dialer.Call(ctx, vm, MethodRecord, records, nil); err != nil {
+		r.Log("stream records not delivered", "peer", vm.ID, "records", len(records), "error", err.Error())
+	}
+}
+
+// ServeRecord handles MethodRecord calls of other VMs.
+func (r *Registrar) ServeRecord(_ context.Context, _ string, request frame.Frame, _ func(any) error) error {
+	var records []fuchsiaspoke.StreamRecord
+	if err := cbor.Unmarshal(request.Body, &records); err != nil {
+		return errors.Wrap(err, "decode stream records")
+	}
+	now := r.Clock()
+	for _, record := range records {
+		r.records.Put(now, record)
+	}
+	return nil
+}
+
+// ServeOrigin handles MethodOrigin calls of other VMs.
+func (r *Registrar) ServeOrigin(_ context.Context, _ string, request frame.Frame, send func(any) error) error {
+	var q fuchsiaspoke.StreamQuery
+	if err := cbor.Unmarshal(request.Body, &q); err != nil {
+		return errors.Wrap(err, "decode question for the origin of a stream")
+	}
+	var reply fuchsiaspoke.StreamReply
+	now := r.Clock()
+	reply.Origin, reply.Known = r.records.Get(now, q.Key)
+	reply.OnlyVersion, reply.SingleVersion = r.history.Only(now, q.Service)
+	return send(reply)
+}
