Review: a caller that reads nothing for 1.5 s loses the stream of a sound engine

relayEvents tells the watch of data before it writes to the caller, and the write may take long. The pause of the caller counts as a stall, another engine is opened, the sound one is cancelled, and after the write the other one is discarded, as the last event has moved. Seen: cut after event 3 with 3.7 s left and maxAttempts 2.

Test: go test ./vm/sender -run TestSlowCallerDoesNotEndAttemptOfSoundEngine

--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -250,3 +250,9 @@
 	wg.Wait()
 	t.Logf("%d of %d streams went on or were cut while another engine was looked for", logged.Load(), streams)
 }
+
+// All engines are sound, and the caller reads nothing for a while: the time of its pause is not one of the engine's.
+func TestSlowCallerDoesNotEndAttemptOfSoundEngine(t *testing.T) {
+	f := newTakeover(t, 2, soundEngine, soundEngine)
+	f.expectWhole(t, &streamWriter{pauseAt: "id: 3\n", pause: silence})
+}
