Review: a replacement that stalls is never replaced with maxAttempts 3

watchStall compares sendCount+1 with MaxAttempts. For an attempt that a search has opened, sendCount has that send already, so it counts twice. Seen: two of three allowed engines used, stream cut at its deadline after 4.4 s of silence.

Test: go test ./vm/sender -run TestStalledReplacementIsReplacedWithinMaxAttempts

--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -256,3 +256,9 @@
 	f := newTakeover(t, 2, soundEngine, soundEngine)
 	f.expectWhole(t, &streamWriter{pauseAt: "id: 3\n", pause: silence})
 }
+
+// The first engine dies, the one that took over stalls as well, and a third one may be asked.
+func TestStalledReplacementIsReplacedWithinMaxAttempts(t *testing.T) {
+	f := newTakeover(t, 3, hangingAfter(2), hangingAfter(4), soundEngine)
+	f.expectWhole(t, &streamWriter{})
+}
