Review: a replacement that can not be connected to costs a retry

resumeAtOther takes a retry from the budget and keeps it where open fails with notSent. The loop of serveGeneration doesn't ask the budget again after notSent; findEngine does. Seen: with one retry left, the first engine found refuses the connection and a sound third one is never asked; stream cut at its deadline.

Test: go test ./vm/sender -run TestReplacementThatWasNotSentCostsNoRetry

--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -262,3 +262,10 @@
 	f := newTakeover(t, 3, hangingAfter(2), hangingAfter(4), soundEngine)
 	f.expectWhole(t, &streamWriter{})
 }
+
+// An engine that could not be connected to has received nothing, so the retry that was meant for it is still there.
+func TestReplacementThatWasNotSentCostsNoRetry(t *testing.T) {
+	f := newTakeover(t, 2, hangingAfter(3), nil, soundEngine)
+	f.RetryBudget = &countedBudget{left: 1}
+	f.expectWhole(t, &streamWriter{})
+}
