Review: a silent engine is given up for one that has sent only its head

If nothing follows, the engine that goes on has been cancelled. Seen: the first engine goes on after 2.2 s, the stream is cut at its deadline of 6 s.

Test: go test ./vm/sender -run TestSilentEngineIsNotEndedForReplacementWithoutEvent

--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -269,3 +269,9 @@
 	f.RetryBudget = &countedBudget{left: 1}
 	f.expectWhole(t, &streamWriter{})
 }
+
+// An engine goes on after a silence. The one that was to take over has sent the head of its response and no event.
+func TestSilentEngineIsNotEndedForReplacementWithoutEvent(t *testing.T) {
+	f := newTakeover(t, 2, silentAfter(3), hangingAfter(0))
+	f.expectWhole(t, &streamWriter{})
+}
