Review: a replacement found during the fourth admission is thrown away

The loop of serveGeneration ends after maxAdmissionsPerRequest and discards the attempt that has taken over. Three engines that refused the connection count. Seen: cut with 4.4 s left, "maximum number of engine attempts reached", the stalled engine cancelled, the other one open and sound.

Test: go test ./vm/sender -run TestReplacementOfLastAttemptIsNotDiscarded

--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -275,3 +275,9 @@
 	f := newTakeover(t, 2, silentAfter(3), hangingAfter(0))
 	f.expectWhole(t, &streamWriter{})
 }
+
+// The last attempt that a request may make stalls, and another engine has taken over already.
+func TestReplacementOfLastAttemptIsNotDiscarded(t *testing.T) {
+	f := newTakeover(t, 2, nil, nil, nil, silentAfter(3), soundEngine)
+	f.expectWhole(t, &streamWriter{})
+}
