Review: a stream whose engine died is cut if no other admits it at once

The search of a stall repeats every 300 ms; after a failed attempt acquireAdmission is called once, and a refusal cuts a stream that has begun. An engine that is silent refuses all that waits (upstream/controller), so one death beside a silence cuts streams. The timeline's two rows "no engine granted admission" look alike. Seen: cut 64 ms after the request came, with 5.9 s left; the other engine admits again after 1 s.

Test: go test ./vm/sender -run TestBrokenStreamWaitsForEngineThatAdmitsItAgain

--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -281,3 +281,16 @@
 	f := newTakeover(t, 2, nil, nil, nil, silentAfter(3), soundEngine)
 	f.expectWhole(t, &streamWriter{})
 }
+
+// An engine dies in mid-stream while the other one admits nothing, as its own silence lets it refuse what waits. It does again a moment
+// later, with most of the request's time left.
+func TestBrokenStreamWaitsForEngineThatAdmitsItAgain(t *testing.T) {
+	breaking := func(w http.ResponseWriter, _ *http.Request, from int) {
+		sendEvents(w, from, 3)
+		panic(http.ErrAbortHandler)
+	}
+	f := newTakeover(t, 2, breaking, soundEngine)
+	silentUntil := time.Now().Add(time.Second)
+	f.admits = func(id string) bool { return id == "engine_0" || time.Now().After(silentUntil) }
+	f.expectWhole(t, &streamWriter{})
+}
