Review: an attempt that is discarded after it was opened stays in flight

open calls Tracker.RecordStart; discard ends the attempt without RecordEnd. The replica's inFlight stays one too high for the life of the process, and its record is never pruned. Rank counts it against the replica for services without a model and requests without one. The test makes a discard by a slow caller; once that makes none, it needs another way.

Test: go test ./vm/sender -run TestDiscardedReplacementIsNotInFlight

--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -294,3 +294,16 @@
 	f.admits = func(id string) bool { return id == "engine_0" || time.Now().After(silentUntil) }
 	f.expectWhole(t, &streamWriter{})
 }
+
+// A replacement that was opened and is not needed is no request in flight any more.
+func TestDiscardedReplacementIsNotInFlight(t *testing.T) {
+	f := newTakeover(t, 3, soundEngine, hangingAfter(0), soundEngine)
+	_ = f.serve(&streamWriter{pauseAt: "id: 3\n", pause: silence})
+	unused := fuchsiaspoke.Replica{ID: "unused"}
+	for range 40 {
+		if f.Tracker.Rank(f.Clock()+time.Minute, []fuchsiaspoke.Replica{f.replicas[1], unused})[0].ID != unused.ID {
+			return
+		}
+	}
+	t.Error("the engine whose attempt was discarded always ranks behind one without requests")
+}
