Review: 503 not_run although an earlier engine may have run the request

outcomeUnknown is not set when an engine's connection breaks before its head; if the next engine refuses, refuse says not_run, the caller gets a 503 and handler.finishResponse refunds the tokens. Only requests that may be repeated are concerned, so REFUSED isn't broken, but the promise of 503 and the quota are. resumeAtOther has the same gap.

Test: go test ./vm/sender -run TestRequestOfUnknownOutcomeIsNotSaidNotToHaveRun

--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -307,3 +308,14 @@
 	}
 	t.Error("the engine whose attempt was discarded always ranks behind one without requests")
 }
+
+// The first engine may have run the request, and only the second one says that it didn't.
+func TestRequestOfUnknownOutcomeIsNotSaidNotToHaveRun(t *testing.T) {
+	reset := func(http.ResponseWriter, *http.Request, int) { panic(http.ErrAbortHandler) }
+	f := newTakeover(t, 2, reset, refusingEngine)
+	err := f.serve(&streamWriter{})
+	var refusal *fuchsiaspoke.Refusal
+	if !errors.As(err, &refusal) || refusal.Run == fuchsiaspoke.NotRun || refusal.Status == http.StatusServiceUnavailable {
+		t.Errorf("error %v, want a refusal that says that the outcome is unknown", err)
+	}
+}
