Review: a response without event IDs is joined from two runs

serveGeneration may repeat any request of an idempotent route. If the part that the caller has bears no event ID, the next run starts at the beginning and is appended. Needs an idempotent route, a model in the request, and a blank line in the body. Seen: body "{\n\n{\n\n}", reported as complete.

Test: go test ./vm/sender -run TestResponseWithoutEventIDsIsNotJoinedFromTwoRuns

--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -319,3 +319,24 @@
 		t.Errorf("error %v, want a refusal that says that the outcome is unknown", err)
 	}
 }
+
+// A response of an idempotent request has no event IDs, so nothing tells how much of it the caller has. A second run must not be appended to
+// the part that was sent.
+func TestResponseWithoutEventIDsIsNotJoinedFromTwoRuns(t *testing.T) {
+	part := func(w http.ResponseWriter, text string) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(text))
+		_ = http.NewResponseController(w).Flush()
+	}
+	hanging := func(w http.ResponseWriter, q *http.Request, _ int) {
+		part(w, "{\n\n")
+		<-q.Context().Done()
+	}
+	whole := func(w http.ResponseWriter, _ *http.Request, _ int) { part(w, "{\n\n}") }
+	f := newTakeover(t, 2, hanging, whole)
+	f.route.Idempotent, f.route.Streaming, f.route.Resumable = true, false, false
+	out := &streamWriter{}
+	if err := f.serve(out); err == nil && out.body.String() != "{\n\n}" {
+		t.Errorf("body %q is not that of one run", out.body.String())
+	}
+}
