--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -103,7 +103,7 @@
 	f.Sender = &sender.Sender{
 		Published: func() *fuchsiaspoke.PublishedState { return published },
 		Transport: &transport.Transport{}, Protocol: plainProtocol{}, Tracker: &tracker.Tracker{}, RetryBudget: unlimitedBudget{},
-		Finder: f, Clock: func() time.Duration { return time.Since(began) + time.Second },
+		Finder: f, Origins: noOrigins{}, Clock: func() time.Duration { return time.Since(began) + time.Second },
 		Log: func(event string, keysAndValues ...any) {
 			t.Log(append([]any{time.Since(began), event}, keysAndValues...)...)
 		},
@@ -167,6 +167,12 @@
 	}
 }
 
+// noOrigins keeps no records, and knows no stream.
+type noOrigins struct{}
+
+func (noOrigins) Record(string, fuchsiaspoke.StreamOrigin, time.Duration) {}
+func (noOrigins) Find(context.Context, string, string) (string, bool)     { return "", false }
+
 // plainProtocol names the last event, and recognizes refusals.
 type plainProtocol struct{}
 
@@ -298,8 +304,8 @@
 
 // A replacement that was opened and is not needed is no request in flight any more.
 func TestDiscardedReplacementIsNotInFlight(t *testing.T) {
-	f := newTakeover(t, 3, soundEngine, hangingAfter(0), soundEngine)
-	_ = f.serve(&streamWriter{pauseAt: "id: 3\n", pause: silence})
+	f := newTakeover(t, 3, silentAfter(3), hangingAfter(0))
+	_ = f.serve(&streamWriter{})
 	unused := fuchsiaspoke.Replica{ID: "unused"}
 	for range 40 {
 		if f.Tracker.Rank(f.Clock()+time.Minute, []fuchsiaspoke.Replica{f.replicas[1], unused})[0].ID != unused.ID {
