--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -230,12 +230,11 @@
 	b.left++
 }
 
-// Engines go on after about the time after which another one is looked for, while that one begins to answer.
-func TestEngineThatGoesOnWhileReplacementOpensKeepsItsStream(t *testing.T) {
-	const streams = 200
+// silentForJitter returns an engine that is silent for about the time after which another one is looked for, and goes on.
+func silentForJitter() engine {
 	jitter := rand.New(rand.NewPCG(1, 2))
 	var mu sync.Mutex
-	silent := func(w http.ResponseWriter, q *http.Request, from int) {
+	return func(w http.ResponseWriter, _ *http.Request, from int) {
 		sendEvents(w, from, 3)
 		mu.Lock()
 		pause := 1480*time.Millisecond + time.Duration(jitter.IntN(20_000))*time.Microsecond
@@ -243,7 +242,18 @@
 		time.Sleep(pause)
 		sendEvents(w, 3, streamEvents)
 	}
-	f := newTakeover(t, 2, silent, soundEngine)
+}
+
+// Engines go on while another one begins to answer.
+func TestEngineThatGoesOnWhileReplacementOpensKeepsItsStream(t *testing.T) {
+	f := newTakeover(t, 2, silentForJitter(), soundEngine)
+	f.serveMany(t, func() { f.expectWhole(t, &streamWriter{}) })
+}
+
+// serveMany runs 200 requests at once, and logs how many went on or were cut while another engine was looked for.
+func (f *takeover) serveMany(t *testing.T, serve func()) {
+	t.Helper()
+	const streams = 200
 	var logged atomic.Int64
 	f.Log = func(event string, _ ...any) {
 		if event == "stalled attempt went on" || event == "stream cut" {
@@ -252,7 +262,7 @@
 	}
 	var wg sync.WaitGroup
 	for range streams {
-		wg.Go(func() { f.expectWhole(t, &streamWriter{}) })
+		wg.Go(serve)
 	}
 	wg.Wait()
 	t.Logf("%d of %d streams went on or were cut while another engine was looked for", logged.Load(), streams)
@@ -304,8 +314,8 @@
 
 // A replacement that was opened and is not needed is no request in flight any more.
 func TestDiscardedReplacementIsNotInFlight(t *testing.T) {
-	f := newTakeover(t, 3, silentAfter(3), hangingAfter(0))
-	_ = f.serve(&streamWriter{})
+	f := newTakeover(t, 3, silentForJitter(), soundEngine)
+	f.serveMany(t, func() { _ = f.serve(&streamWriter{}) })
 	unused := fuchsiaspoke.Replica{ID: "unused"}
 	for range 40 {
 		if f.Tracker.Rank(f.Clock()+time.Minute, []fuchsiaspoke.Replica{f.replicas[1], unused})[0].ID != unused.ID {
