A replacement that stalls is replaced while another attempt is allowed

Callers saw a stream held to its deadline: an attempt that a search had opened was counted twice against the route's maximum.

--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -81,11 +81,13 @@
 // watchStall starts the watch of an attempt, which is stalled once it has received nothing for the time first. It ends with the call of
 // end; ctx is that of the request.
 func (t *requestTask) watchStall(ctx context.Context, a *attempt, first time.Duration, find finder) *stallWatch {
-	if !t.retryable() || t.sendCount+1 >= t.request.Route.MaxAttempts {
+	task := *t
+	if a.response == nil {
+		task.sendCount++
+	}
+	if !t.retryable() || task.sendCount >= t.request.Route.MaxAttempts {
 		return &stallWatch{}
 	}
-	task := *t
-	task.sendCount++
 	task.triedReplicas = maps.Clone(t.triedReplicas)
 	task.markTried(a.replica.ID)
 	w := &stallWatch{
