A replacement that was not sent costs no retry

Callers saw a stream held to its deadline beside a sound engine: a replacement that refused the connection had spent the retry.

--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -200,6 +200,9 @@
 	a := newAttempt(ctx, replica, admission)
 	t.markTried(replica.ID)
 	if failure := t.open(a, position); failure != nil {
+		if failure.notSent {
+			t.RetryBudget.Return(t.request.Service)
+		}
 		a.end(nil)
 		return nil
 	}
