A replacement found during the last attempt is used

Callers saw a stream cut with seconds left: the limit on admissions also ended the loop for an engine that had begun to answer.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -37,8 +37,11 @@
 func (t *requestTask) serveGeneration(ctx context.Context) error {
 	relay := newStreamRelay(t.out, t.resumed, t.recordOrigin)
 	var a *attempt
-	for range maxAdmissionsPerRequest {
+	for admissions := 0; ; {
 		if a == nil {
+			if admissions++; admissions > maxAdmissionsPerRequest {
+				return t.interruptedIfStarted(relay, t.refuse(http.StatusServiceUnavailable, "maximum number of engine attempts reached"))
+			}
 			admission, replica, refusal := t.acquireAdmission(ctx, relay.position.Load())
 			if t.callerCtx.Err() != nil {
 				return ErrCallerDisconnected
@@ -60,8 +63,6 @@
 		}
 		a = next
 	}
-	t.discard(a)
-	return t.interruptedIfStarted(relay, t.refuse(http.StatusServiceUnavailable, "maximum number of engine attempts reached"))
 }
 
 // interruptedIfStarted replaces a refusal with ErrResponseInterrupted if the head of the stream was already sent.
