Nothing is appended to a response whose position is not known

Callers got a body joined from two runs and framed as complete, on routes that may run twice and whose responses have no event ids.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -58,7 +58,7 @@
 			t.discard(next)
 			return outcome.err
 		}
-		if next == nil && !outcome.notSent && !t.takeRetry(outcome.notRun) {
+		if next == nil && !outcome.notSent && !(relay.mayGoOn(t.request.Route) && t.takeRetry(outcome.notRun)) {
 			return t.resultAfterLastAttempt(ctx, relay, outcome)
 		}
 		a = next
@@ -67,7 +67,7 @@
 
 // interruptedIfStarted replaces a refusal with ErrResponseInterrupted if the head of the stream was already sent.
 func (t *requestTask) interruptedIfStarted(r *streamRelay, err error) error {
-	if r.headSent {
+	if r.headSent.Load() {
 		t.Count("stream_cut")
 		t.Log("stream cut", "request", t.request.ID, "last_event", r.lastEvent(), "reason", err.Error(),
 			"time_left_ms", (t.sendDeadline - t.Clock()).Milliseconds())
@@ -84,7 +84,7 @@
 	if o.err != nil {
 		reason = o.err.Error()
 	}
-	if relay.headSent {
+	if relay.headSent.Load() {
 		return t.interruptedIfStarted(relay, errors.New(reason))
 	}
 	if o.notRun {
--- a/vm/sender/generation_test.go
+++ b/vm/sender/generation_test.go
@@ -27,7 +27,9 @@
 			Sender: &Sender{Log: func(string, ...any) {}, Count: func(string) {}, Clock: func() time.Duration { return 0 }}, out: w, callerCtx: context.Background(),
 			request: fuchsiaspoke.AdmittedRequest{ID: "r"},
 		}
-		err := task.resultAfterLastAttempt(context.Background(), &streamRelay{out: w, headSent: true}, o)
+		relay := &streamRelay{out: w}
+		relay.headSent.Store(true)
+		err := task.resultAfterLastAttempt(context.Background(), relay, o)
 		if !errors.Is(err, ErrResponseInterrupted) || w.heads != 0 {
 			t.Errorf("%s: error %v and %d more heads, want ErrResponseInterrupted and none", name, err, w.heads)
 		}
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -28,7 +28,7 @@
 // streamRelay relays complete events to the caller, over one attempt or several consecutive ones.
 type streamRelay struct {
 	out      responseWriter
-	headSent bool
+	headSent atomic.Bool
 	// position is where the stream stands; nil until its first event was sent. A search for another engine reads it meanwhile.
 	position atomic.Pointer[streamPosition]
 	// softwareVersion is that of the engine whose events are relayed.
@@ -67,6 +67,12 @@
 	return ""
 }
 
+// mayGoOn reports whether another attempt may go on where the caller stands: at the beginning, or after an event that has an ID on a route
+// whose streams may be resumed.
+func (r *streamRelay) mayGoOn(route fuchsiaspoke.ServiceRoute) bool {
+	return !r.headSent.Load() || route.Resumable && r.lastEvent() != ""
+}
+
 // relayEvents relays the events of one attempt, and calls onData after each read that returns data.
 func (r *streamRelay) relayEvents(response *transport.Response, softwareVersion string, onData func()) error {
 	r.splitter, r.softwareVersion = eventsplitter.Splitter{}, softwareVersion
@@ -92,10 +98,9 @@
 }
 
 func (r *streamRelay) sendHead(response *transport.Response) {
-	if r.headSent {
+	if r.headSent.Swap(true) {
 		return
 	}
-	r.headSent = true
 	r.out.Head(http.StatusOK, response.Header, -1)
 }
 
--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -176,7 +176,7 @@
 func findEngine(r *streamRelay) finder {
 	return func(ctx context.Context, t *requestTask, lastTry <-chan struct{}) *attempt {
 		for ctx.Err() == nil {
-			if next := t.resumeAtOther(ctx, r.position.Load()); next != nil {
+			if next := t.resumeAtOther(ctx, r); next != nil {
 				return next
 			}
 			if !sleepUnless(ctx, lastTry) {
@@ -188,8 +188,9 @@
 }
 
 // resumeAtOther sends the request to another engine, if one admits it and the retry budget allows it, and reads the head of the response.
-func (t *requestTask) resumeAtOther(ctx context.Context, position *streamPosition) *attempt {
-	if !t.takeRetry(false) {
+func (t *requestTask) resumeAtOther(ctx context.Context, r *streamRelay) *attempt {
+	position := r.position.Load()
+	if !r.mayGoOn(t.request.Route) || !t.takeRetry(false) {
 		return nil
 	}
 	admission, replica, refusal := t.acquireAdmission(ctx, position)
