A generation whose outcome is unknown is not said not to have run

Callers got 503 not_run, and their tokens back, where the first engine had broken off without an answer and the second refused.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -54,6 +54,7 @@
 		outcome, next := t.runAttempt(ctx, a, relay)
 		a.end(nil)
 		t.markTried(a.replica.ID)
+		t.outcomeUnknown = t.outcomeUnknown || outcome.mayHaveRun()
 		if outcome.done || t.callerCtx.Err() != nil {
 			t.discard(next)
 			return outcome.err
@@ -279,6 +280,11 @@
 	err     error
 }
 
+// mayHaveRun reports whether the engine may have run an attempt that it did not answer.
+func (o outcome) mayHaveRun() bool {
+	return !o.done && !o.notRun && !o.notSent
+}
+
 // runAttempt sends the request to one engine, unless that was done, and relays the events of its stream to the caller. If the engine sends
 // nothing for too long, another one is looked for; the attempt that has begun there is returned as next.
 func (t *requestTask) runAttempt(ctx context.Context, a *attempt, relay *streamRelay) (result outcome, next *attempt) {
--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -204,6 +204,7 @@
 		if failure.notSent {
 			t.RetryBudget.Return(t.request.Service)
 		}
+		t.outcomeUnknown = t.outcomeUnknown || failure.mayHaveRun()
 		a.end(nil)
 		return nil
 	}
