A stalled attempt and its replacement don't end each other

Callers saw streams cut whose engine went on just as another one answered: the search had ended the first attempt, and the second was thrown away since the first had moved on. Now one of the two wins under a lock, and data that come later from the other are not relayed.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -296,7 +296,7 @@
 	if failure := t.open(a, relay.position.Load()); failure != nil {
 		result = *failure
 	} else {
-		result = t.relayStream(a, relay, watch.onData)
+		result = t.relayStream(a, relay, watch.receive)
 	}
 	next = watch.end(t, result.done)
 	if next != nil && next.position != relay.position.Load() {
@@ -378,14 +378,16 @@
 	}
 }
 
-// relayStream relays events to the caller until the stream ends or fails. It calls onData when data arrives.
-func (t *requestTask) relayStream(a *attempt, relay *streamRelay, onData func()) outcome {
+// relayStream relays events to the caller until the stream ends or fails, or receive, which is called when data arrives, returns false.
+func (t *requestTask) relayStream(a *attempt, relay *streamRelay, receive func() bool) outcome {
 	first := true
 	firstEventTime := time.Duration(0)
-	err := relay.relayEvents(a.response, a.replica.SoftwareVersion, func() {
-		onData()
+	err := relay.relayEvents(a.response, a.replica.SoftwareVersion, func() bool {
+		if !receive() {
+			return false
+		}
 		if !first {
-			return
+			return true
 		}
 		first = false
 		a.admission.Progress(false)
@@ -393,6 +395,7 @@
 		t.Observe(a.admission.Wait, firstEventTime)
 		t.Tracker.RecordAnswer(t.Clock(), a.replica.ID, firstEventTime, false)
 		t.Tracker.RecordStart(t.Clock(), a.replica.ID)
+		return true
 	})
 	switch {
 	case err == nil:
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -73,14 +73,17 @@
 	return !r.headSent.Load() || route.Resumable && r.lastEvent() != ""
 }
 
-// relayEvents relays the events of one attempt, and calls onData after each read that returns data.
-func (r *streamRelay) relayEvents(response *transport.Response, softwareVersion string, onData func()) error {
+// relayEvents relays the events of one attempt. It calls receive after each read that returns data, and ends with errStalled if that
+// returns false.
+func (r *streamRelay) relayEvents(response *transport.Response, softwareVersion string, receive func() bool) error {
 	r.splitter, r.softwareVersion = eventsplitter.Splitter{}, softwareVersion
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Read(buffer)
 		if n > 0 {
-			onData()
+			if !receive() {
+				return errStalled
+			}
 			if sendErr := r.sendEvents(response, r.splitter.Add(buffer[:n])); sendErr != nil {
 				return sendErr
 			}
--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -71,11 +72,16 @@
 	sendCount int
 	find      finder
 	stalled   *attempt
-	// progress receives that data arrived, and ended whether the attempt is complete.
+	// progress receives a value after data arrived, and ended whether the attempt is complete.
 	progress chan struct{}
 	ended    chan bool
 	// next receives the attempt that takes over, or nil.
 	next chan *attempt
+
+	mu sync.Mutex
+	// received counts the reads of the attempt that returned data, up to the time at which another attempt has takenOver.
+	received  int
+	takenOver bool
 }
 
 // watchStall starts the watch of an attempt, which is stalled once it has received nothing for the time first. It ends with the call of
@@ -109,7 +115,7 @@
 		case <-timer.C:
 			w.task.Tracker.RecordStall(w.task.Clock(), w.stalled.replica.ID)
 			w.task.Log("attempt stalled", "request", w.task.request.ID, "replica", w.stalled.replica.ID)
-			next, wentOn := w.search(ctx)
+			next, wentOn := w.search(ctx, w.readsReceived())
 			if !wentOn {
 				return next
 			}
@@ -119,18 +125,19 @@
 	}
 }
 
-// search looks for an attempt that takes over, and ends the stalled one if there is. It reports whether the stalled one went on instead.
-func (w *stallWatch) search(ctx context.Context) (next *attempt, wentOn bool) {
+// search looks for an attempt that takes over, and ends the stalled one if there is. It reports whether the stalled one went on instead,
+// which it has if more than the given number of reads returned data.
+func (w *stallWatch) search(ctx context.Context, received int) (next *attempt, wentOn bool) {
 	ctx, stop := context.WithCancelCause(ctx)
 	lastTry := make(chan struct{})
 	found := make(chan *attempt, 1)
 	go func() { found <- w.find(ctx, w.task, lastTry) }()
 	select {
 	case next = <-found:
-	case <-w.progress:
+		wentOn = !w.takeOver(received)
+	case <-w.wentOnAfter(ctx, received):
 		stop(errNotNeeded)
-		w.task.discard(<-found)
-		return nil, true
+		next, wentOn = <-found, true
 	case complete := <-w.ended:
 		if complete {
 			stop(errNotNeeded)
@@ -138,6 +145,11 @@
 		close(lastTry)
 		next = <-found
 	}
+	if wentOn {
+		stop(errNotNeeded)
+		w.task.discard(next)
+		return nil, true
+	}
 	if next == nil {
 		stop(nil)
 		return nil, false
@@ -147,12 +159,49 @@
 	return next, false
 }
 
-// onData tells the watch that data has arrived.
-func (w *stallWatch) onData() {
+// wentOnAfter returns a channel that is closed once more reads than the given number have returned data, or ctx has ended.
+func (w *stallWatch) wentOnAfter(ctx context.Context, received int) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for w.readsReceived() == received {
+			select {
+			case <-w.progress:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return done
+}
+
+func (w *stallWatch) readsReceived() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.received
+}
+
+// takeOver lets another attempt take over, unless the stalled one has gone on.
+func (w *stallWatch) takeOver(received int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.takenOver = w.received == received
+	return w.takenOver
+}
+
+// receive tells the watch that a read has returned data, and reports whether the attempt may relay them: another one may have taken over.
+func (w *stallWatch) receive() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.takenOver {
+		return false
+	}
+	w.received++
 	select {
 	case w.progress <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // end ends the watch after the attempt, whose response is complete or not, and returns the attempt that takes over. The state of that
