The time that a caller takes is not one of its engine's

Callers that read nothing for 1.5 s had their streams cut, or moved away from a sound engine: a write to the caller counted as silence of the engine. Since a stall is now judged together with the number of reads, and never while data are being relayed, a search no longer begins from an event that is just being sent either.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -296,15 +296,9 @@
 	if failure := t.open(a, relay.position.Load()); failure != nil {
 		result = *failure
 	} else {
-		result = t.relayStream(a, relay, watch.receive)
+		result = t.relayStream(a, relay, watch)
 	}
-	next = watch.end(t, result.done)
-	if next != nil && next.position != relay.position.Load() {
-		// The stalled engine sent events while the other one began.
-		t.discard(next)
-		next = nil
-	}
-	return result, next
+	return result, watch.end(t, result.done)
 }
 
 // open sends the request to the attempt's engine, unless that was done, and reads the head of the response. It returns the outcome of an
@@ -378,12 +372,12 @@
 	}
 }
 
-// relayStream relays events to the caller until the stream ends or fails, or receive, which is called when data arrives, returns false.
-func (t *requestTask) relayStream(a *attempt, relay *streamRelay, receive func() bool) outcome {
+// relayStream relays events to the caller until the stream ends or fails, or another attempt takes over.
+func (t *requestTask) relayStream(a *attempt, relay *streamRelay, watch *stallWatch) outcome {
 	first := true
 	firstEventTime := time.Duration(0)
 	err := relay.relayEvents(a.response, a.replica.SoftwareVersion, func() bool {
-		if !receive() {
+		if !watch.receive() {
 			return false
 		}
 		if !first {
@@ -396,7 +390,7 @@
 		t.Tracker.RecordAnswer(t.Clock(), a.replica.ID, firstEventTime, false)
 		t.Tracker.RecordStart(t.Clock(), a.replica.ID)
 		return true
-	})
+	}, watch.relayed)
 	switch {
 	case err == nil:
 		t.Tracker.RecordEnd(a.replica.ID)
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -74,8 +74,10 @@
 }
 
 // relayEvents relays the events of one attempt. It calls receive after each read that returns data, and ends with errStalled if that
-// returns false.
-func (r *streamRelay) relayEvents(response *transport.Response, softwareVersion string, receive func() bool) error {
+// returns false. It calls relayed once the events of that read were sent.
+func (r *streamRelay) relayEvents(
+	response *transport.Response, softwareVersion string, receive func() bool, relayed func(),
+) error {
 	r.splitter, r.softwareVersion = eventsplitter.Splitter{}, softwareVersion
 	buffer := make([]byte, readBufferBytes)
 	for {
@@ -87,6 +89,7 @@
 			if sendErr := r.sendEvents(response, r.splitter.Add(buffer[:n])); sendErr != nil {
 				return sendErr
 			}
+			relayed()
 		}
 		if err == io.EOF {
 			return r.finishStream(response)
--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -72,6 +72,8 @@
 	sendCount int
 	find      finder
 	stalled   *attempt
+	// timeout is how long the attempt may receive nothing before it is stalled.
+	timeout time.Duration
 	// progress receives a value after data arrived, and ended whether the attempt is complete.
 	progress chan struct{}
 	ended    chan bool
@@ -82,6 +84,9 @@
 	// received counts the reads of the attempt that returned data, up to the time at which another attempt has takenOver.
 	received  int
 	takenOver bool
+	// relaying means that data that were read are being sent to the caller; idleSince is when that ended last.
+	relaying  bool
+	idleSince time.Time
 }
 
 // watchStall starts the watch of an attempt, which is stalled once it has received nothing for the time first. It ends with the call of
@@ -97,31 +102,39 @@
 	task.triedReplicas = maps.Clone(t.triedReplicas)
 	task.markTried(a.replica.ID)
 	w := &stallWatch{
+		timeout: first, idleSince: time.Now(),
 		task: &task, sendCount: task.sendCount, find: find, stalled: a, progress: make(chan struct{}, 1), ended: make(chan bool, 1), next: make(chan *attempt, 1),
 	}
-	go func() { w.next <- w.run(ctx, first) }()
+	go func() { w.next <- w.run(ctx) }()
 	return w
 }
 
 // run watches until the attempt ends or another one takes over.
-func (w *stallWatch) run(ctx context.Context, first time.Duration) *attempt {
-	timer := time.NewTimer(first)
+func (w *stallWatch) run(ctx context.Context) *attempt {
+	timer := time.NewTimer(w.timeout)
 	defer timer.Stop()
 	for {
 		select {
 		case <-w.ended:
 			return nil
 		case <-w.progress:
+			w.timeout = stallTimeout
 		case <-timer.C:
+			idle, received := w.idle()
+			if idle < w.timeout {
+				timer.Reset(w.timeout - idle)
+				continue
+			}
 			w.task.Tracker.RecordStall(w.task.Clock(), w.stalled.replica.ID)
 			w.task.Log("attempt stalled", "request", w.task.request.ID, "replica", w.stalled.replica.ID)
-			next, wentOn := w.search(ctx, w.readsReceived())
+			next, wentOn := w.search(ctx, received)
 			if !wentOn {
 				return next
 			}
 			w.task.Log("stalled attempt went on", "request", w.task.request.ID, "replica", w.stalled.replica.ID)
+			w.timeout = stallTimeout
 		}
-		timer.Reset(stallTimeout)
+		timer.Reset(w.timeout)
 	}
 }
 
@@ -197,6 +210,7 @@
 		return false
 	}
 	w.received++
+	w.relaying = true
 	select {
 	case w.progress <- struct{}{}:
 	default:
@@ -204,6 +218,24 @@
 	return true
 }
 
+// relayed tells the watch that the data of the last read were sent to the caller. The time that the caller takes is not one of the replica.
+func (w *stallWatch) relayed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.relaying, w.idleSince = false, time.Now()
+}
+
+// idle returns for how long the attempt has received nothing while its caller had everything, which is 0 while data are being relayed, and
+// the number of reads by then.
+func (w *stallWatch) idle() (idle time.Duration, received int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.relaying {
+		return 0, w.received
+	}
+	return time.Since(w.idleSince), w.received
+}
+
 // end ends the watch after the attempt, whose response is complete or not, and returns the attempt that takes over. The state of that
 // attempt is added to the task.
 func (w *stallWatch) end(t *requestTask, complete bool) *attempt {
