A replacement that is not needed is no request in flight

Engines were ranked behind others for good: the start of each discarded attempt was counted, its end was not.

--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -53,8 +53,13 @@
 
 // discard ends an attempt that is not needed. If nothing was sent, its retry goes back to the budget.
 func (t *requestTask) discard(a *attempt) {
-	if a != nil && a.started == 0 {
+	switch {
+	case a == nil:
+		return
+	case a.started == 0:
 		t.RetryBudget.Return(t.request.Service)
+	case a.response != nil:
+		t.Tracker.RecordEnd(a.replica.ID)
 	}
 	a.end(errNotNeeded)
 }
