A stalled attempt ends with the first event of its replacement, not with the head

Callers saw a stream held to its deadline whose engine had gone on: the engine that took over had sent its head and then nothing.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -324,7 +324,7 @@
 	if !info.NotRun && info.Forwardable && response.Status == http.StatusOK {
 		t.sendCount++
 		t.executed = true
-		a.response = response
+		a.response, a.body = response, response
 		return nil
 	}
 	defer response.Close()
@@ -376,7 +376,7 @@
 func (t *requestTask) relayStream(a *attempt, relay *streamRelay, watch *stallWatch) outcome {
 	first := true
 	firstEventTime := time.Duration(0)
-	err := relay.relayEvents(a.response, a.replica.SoftwareVersion, func() bool {
+	err := relay.relayEvents(a.response, a.body, a.replica.SoftwareVersion, func() bool {
 		if !watch.receive() {
 			return false
 		}
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -73,15 +73,15 @@
 	return !r.headSent.Load() || route.Resumable && r.lastEvent() != ""
 }
 
-// relayEvents relays the events of one attempt. It calls receive after each read that returns data, and ends with errStalled if that
+// relayEvents relays the events in the body of a response. It calls receive after each read that returns data, and ends with errStalled if that
 // returns false. It calls relayed once the events of that read were sent.
 func (r *streamRelay) relayEvents(
-	response *transport.Response, softwareVersion string, receive func() bool, relayed func(),
+	response *transport.Response, body io.Reader, softwareVersion string, receive func() bool, relayed func(),
 ) error {
 	r.splitter, r.softwareVersion = eventsplitter.Splitter{}, softwareVersion
 	buffer := make([]byte, readBufferBytes)
 	for {
-		n, err := response.Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
 			if !receive() {
 				return errStalled
--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -1,7 +1,9 @@
 package sender
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"maps"
 	"sync"
 	"time"
@@ -24,6 +26,8 @@
 	// response is nil until its head was read. It goes on from position, which is nil where the stream begins.
 	response *transport.Response
 	position *streamPosition
+	// body is the body of the response.
+	body io.Reader
 	started  time.Duration
 	// stopSearch ends the context of the search that found the attempt; nil if there was none.
 	stopSearch context.CancelCauseFunc
@@ -273,7 +277,8 @@
 	}
 }
 
-// resumeAtOther sends the request to another engine, if one admits it and the retry budget allows it, and reads the head of the response.
+// resumeAtOther sends the request to another engine, if one admits it and the retry budget allows it, and waits for the first data of the
+// response: an engine that has sent its head alone may still turn out to be silent itself.
 func (t *requestTask) resumeAtOther(ctx context.Context, r *streamRelay) *attempt {
 	position := r.position.Load()
 	if !r.mayGoOn(t.request.Route) || !t.takeRetry(false) {
@@ -294,9 +299,25 @@
 		a.end(nil)
 		return nil
 	}
+	if err := a.awaitData(); err != nil {
+		t.recordSendFailure(ctx, replica, a.started, &fuchsiaspoke.SendError{Peer: replica.Address, Step: "read first event", Cause: err})
+		a.end(nil)
+		return nil
+	}
 	return a
 }
 
+// awaitData waits for the first data of the response, or its end.
+func (a *attempt) awaitData() error {
+	first := make([]byte, readBufferBytes)
+	n, err := a.response.Read(first)
+	if n == 0 && err != nil && err != io.EOF {
+		return err
+	}
+	a.body = io.MultiReader(bytes.NewReader(first[:n]), a.response)
+	return nil
+}
+
 // findReplica looks for another replica of a plain service to which the request may be sent. The attempt is not opened.
 func findReplica(ctx context.Context, t *requestTask, lastTry <-chan struct{}) *attempt {
 	for ctx.Err() == nil {
