A plain replica is waited for until another one has answered

Callers got 502 or 503 where the first replica would have answered in time: it was given up before the other one was asked, which then rejected the request or broke off. Idempotent requests alone, within the retry budget as before.

--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -230,12 +230,12 @@
 		if len(ranked) == 0 || t.Clock() > t.sendDeadline-minSendTime {
 			return t.finalResponse(ctx, last, "no replica left to try before the deadline")
 		}
-		r, stalled, err := t.attemptWhole(ctx, ranked[0])
+		r, err := t.attemptWhole(ctx, ranked[0])
 		t.markTried(ranked[0].ID)
 		if t.callerCtx.Err() != nil {
 			return ErrCallerDisconnected
 		}
-		if err == nil && (!r.failed || !stalled && !t.takeRetry(r.notRun)) {
+		if err == nil && (!r.failed || !t.takeRetry(r.notRun)) {
 			if r.notRun {
 				return t.refuse(r.status, "replica did not accept the request")
 			}
@@ -249,7 +249,7 @@
 			continue
 		}
 		t.outcomeUnknown = true
-		if !stalled && !t.takeRetry(false) {
+		if !t.takeRetry(false) {
 			return t.finalResponse(ctx, last, err.Error())
 		}
 	}
@@ -340,24 +340,23 @@
 	failed bool
 }
 
-// attemptWhole sends the request to one replica and reads the complete response. If that takes longer than an attempt that another one
-// may follow, it ends once another replica is found; the result then is stalled, and a retry has been deducted from the budget.
-func (t *requestTask) attemptWhole(ctx context.Context, r fuchsiaspoke.Replica) (response *reply, stalled bool, err error) {
+// attemptWhole sends the request to one replica and returns the complete response. If that takes longer than an attempt that another one
+// may follow, another replica is asked as well, and the first complete response is returned.
+func (t *requestTask) attemptWhole(ctx context.Context, r fuchsiaspoke.Replica) (*reply, error) {
 	a := newAttempt(ctx, r, nil)
 	defer a.end(nil)
 	watch := &stallWatch{}
 	if t.request.Route.Idempotent {
 		watch = t.watchStall(ctx, a, attemptObjectives*t.request.Route.Objective, findReplica)
 	}
-	response, err = t.exchangeWhole(a.ctx, r)
+	response, err := t.exchangeWhole(a.ctx, r)
 	complete := err == nil && !response.failed
 	next := watch.end(t, complete)
-	if complete {
-		t.discard(next)
-		return response, false, nil
+	defer next.end(nil)
+	if !complete && next != nil {
+		return next.reply, nil
 	}
-	next.end(nil)
-	return response, next != nil, err
+	return response, err
 }
 
 // exchangeWhole sends the request to one replica and reads the complete response. It returns an error if there is no complete
--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -28,7 +28,9 @@
 	position *streamPosition
 	// body is the body of the response.
 	body io.Reader
-	started  time.Duration
+	// reply is the complete response of a plain service that took over.
+	reply   *reply
+	started time.Duration
 	// stopSearch ends the context of the search that found the attempt; nil if there was none.
 	stopSearch context.CancelCauseFunc
 }
@@ -318,12 +320,11 @@
 	return nil
 }
 
-// findReplica looks for another replica of a plain service to which the request may be sent. The attempt is not opened.
+// findReplica looks for another replica of a plain service that answers the request, until ctx ends.
 func findReplica(ctx context.Context, t *requestTask, lastTry <-chan struct{}) *attempt {
 	for ctx.Err() == nil {
-		ranked := t.Tracker.Rank(t.Clock(), t.untriedReplicas())
-		if len(ranked) > 0 && t.takeRetry(false) {
-			return newAttempt(ctx, ranked[0], nil)
+		if next := t.askOther(ctx); next != nil {
+			return next
 		}
 		if !sleepUnless(ctx, lastTry) {
 			return nil
@@ -332,6 +333,28 @@
 	return nil
 }
 
+// askOther sends the request to another replica, if there is one and the retry budget allows it, and reads its complete response.
+func (t *requestTask) askOther(ctx context.Context) *attempt {
+	ranked := t.Tracker.Rank(t.Clock(), t.untriedReplicas())
+	if len(ranked) == 0 || !t.takeRetry(false) {
+		return nil
+	}
+	a := newAttempt(ctx, ranked[0], nil)
+	a.started = t.Clock()
+	t.markTried(a.replica.ID)
+	response, err := t.exchangeWhole(a.ctx, a.replica)
+	if err == nil && !response.failed {
+		a.reply = response
+		return a
+	}
+	if err != nil && notSent(err) {
+		t.RetryBudget.Return(t.request.Service)
+	}
+	t.outcomeUnknown = t.outcomeUnknown || err != nil && !notSent(err)
+	a.end(nil)
+	return nil
+}
+
 // sleepUnless waits for searchInterval, and returns false at once if ctx has ended or lastTry is closed.
 func sleepUnless(ctx context.Context, lastTry <-chan struct{}) bool {
 	t := time.NewTimer(searchInterval)
