A stream that was broken off waits for an engine that admits it

Callers saw streams cut with seconds left where the engines left refused at that moment, as they do while one of them is silent: a stalled stream looked again each 0.3 s, a broken one asked once.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -24,6 +24,8 @@
 	// looked for. One decoding step at full batch size takes a quarter of it, and callers cancel
 	// a stalled stream after about twice as long.
 	stallTimeout = 1500 * time.Millisecond
+	// maxResumeWait is how long a stream that was broken off waits for an engine; callers cancel it after two seconds.
+	maxResumeWait = 1500 * time.Millisecond
 	// maxAdmissionsPerRequest limits the attempts of one request, including those that an engine refuses.
 	maxAdmissionsPerRequest = 4
 )
@@ -42,7 +44,7 @@
 			if admissions++; admissions > maxAdmissionsPerRequest {
 				return t.interruptedIfStarted(relay, t.refuse(http.StatusServiceUnavailable, "maximum number of engine attempts reached"))
 			}
-			admission, replica, refusal := t.acquireAdmission(ctx, relay.position.Load())
+			admission, replica, refusal := t.acquireOrWait(ctx, relay)
 			if t.callerCtx.Err() != nil {
 				return ErrCallerDisconnected
 			}
@@ -66,6 +68,18 @@
 	}
 }
 
+// acquireOrWait requests admission to engines. A stream that has begun can't be refused any more, so it waits up to maxResumeWait for an
+// engine that grants it.
+func (t *requestTask) acquireOrWait(ctx context.Context, relay *streamRelay) (*requester.Admission, fuchsiaspoke.Replica, error) {
+	waitUntil := t.Clock() + maxResumeWait
+	for {
+		admission, replica, refusal := t.acquireAdmission(ctx, relay.position.Load())
+		if refusal == nil || !relay.headSent.Load() || t.Clock() > waitUntil || !sleeper.Sleep(ctx, searchInterval) {
+			return admission, replica, refusal
+		}
+	}
+}
+
 // interruptedIfStarted replaces a refusal with ErrResponseInterrupted if the head of the stream was already sent.
 func (t *requestTask) interruptedIfStarted(r *streamRelay, err error) error {
 	if r.headSent.Load() {
