Stalls of one silence are one backoff, which ends when the replica goes on

Engines that had been silent for a second were avoided for up to 4 s after they had gone on, as each of their stalled streams doubled the backoff.

--- a/upstream/tracker/tracker.go
+++ b/upstream/tracker/tracker.go
@@ -101,11 +101,22 @@
 	r.avoid(now)
 }
 
-// RecordStall records that a request in flight receives nothing. The replica is then avoided as after RecordNoAnswer.
+// RecordStall records that a request in flight receives nothing. The replica is then avoided as after RecordNoAnswer; further stalls
+// within its backoff are taken for the same silence.
 func (t *Tracker) RecordStall(now time.Duration, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.record(id).avoid(now)
+	if r := t.record(id); now >= r.backoffUntil {
+		r.avoid(now)
+	}
+}
+
+// RecordStallEnd records that a stalled request has received data, which ends the replica's backoff.
+func (t *Tracker) RecordStallEnd(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(id)
+	r.backoff, r.backoffUntil = 0, 0
 }
 
 // avoid starts the next backoff.
--- a/upstream/tracker/tracker_test.go
+++ b/upstream/tracker/tracker_test.go
@@ -102,3 +102,20 @@
 		t.Errorf("%d records, want those of the new replica and of the one with a request in flight", tr.Size())
 	}
 }
+
+// Many streams of one engine stall at once, and it goes on a moment later.
+func TestStallsOfOneSilenceAreOneBackoff(t *testing.T) {
+	var tr tracker.Tracker
+	for range 20 {
+		tr.RecordStart(time.Second, "e")
+		tr.RecordStall(time.Second, "e")
+	}
+	if !tr.Failing(1300*time.Millisecond, "e") || tr.Failing(1500*time.Millisecond, "e") {
+		t.Error("the backoff of one silence should last 0.4 s, however many streams stall in it")
+	}
+	tr.RecordStall(2*time.Second, "e")
+	tr.RecordStallEnd("e")
+	if tr.Failing(2*time.Second, "e") {
+		t.Error("the engine is avoided after it has gone on")
+	}
+}
--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -142,6 +142,7 @@
 			if !wentOn {
 				return next
 			}
+			w.task.Tracker.RecordStallEnd(w.stalled.replica.ID)
 			w.task.Log("stalled attempt went on", "request", w.task.request.ID, "replica", w.stalled.replica.ID)
 			w.timeout = stallTimeout
 		}
