--- a/upstream/controller/controller_test.go
+++ b/upstream/controller/controller_test.go
@@ -79,11 +79,20 @@
 	e.unresponsive = unresponsive
 }
 
-func startController(t *testing.T, e *fakeEngine) *controller.Controller {
-	t.Helper()
+// oldOwner is the VM whose controllers the tests start.
+const oldOwner = "vm_1"
+
+// engine is a stand-in of an engine that can ask for a pause.
+type engine interface {
+	Report(ctx context.Context, r fuchsiaspoke.Replica) (fuchsiaspoke.ReplicaReport, error)
+	Order(ctx context.Context, r fuchsiaspoke.Replica, o fuchsiaspoke.EngineOrder) (fuchsiaspoke.OrderResult, error)
+	pause() time.Duration
+}
+
+func newController(e engine) *controller.Controller {
 	began := time.Now()
-	c := &controller.Controller{
-		Replica: fuchsiaspoke.Replica{ID: "engine_1", StartedAtMs: 1}, Model: "m", Engine: e, Owner: "vm_1", Fence: 7,
+	return &controller.Controller{
+		Replica: fuchsiaspoke.Replica{ID: "engine_1", StartedAtMs: 1}, Model: "m", Engine: e, Owner: oldOwner, Fence: 7,
 		Limits: fuchsiaspoke.EngineLimits{
 			BatchSize: 96, CacheTokens: 180_000, AdapterSlots: 2, WeightsMB: 16_500,
 			Models: map[string]fuchsiaspoke.Model{"m": {WeightsMB: 16_000, AdapterMB: 14}},
@@ -93,6 +102,18 @@
 		Pause: e.pause,
 		Log:   func(string, ...any) {}, LatestVersion: func(string) int64 { return 1 },
 	}
+}
+
+func startController(t *testing.T, e engine) *controller.Controller {
+	t.Helper()
+	c := newController(e)
+	runController(t, c)
+	return c
+}
+
+// runController runs a controller until the test ends.
+func runController(t *testing.T, c *controller.Controller) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := c.Run(ctx)
 	t.Cleanup(func() {
@@ -101,7 +122,6 @@
 			t.Error(err)
 		}
 	})
-	return c
 }
 
 func newRequest(id, adapter string) fuchsiaspoke.AdmissionRequest {
