Each order expects the order count; one without an answer keeps its room

Callers saw an engine crash, with all its streams, and come back empty 3 s later (LIMIT). A load or unload in progress was polled by the same order again, guarded by nothing. Written into a link that has fallen silent it is given up and its connection closed, but the kernel sends it again at doubling intervals, and the engine carries out, up to 3 s later, a load of an adapter that its owner has unloaded meanwhile for another one.

Now no order goes out without the count that it expects. What the sender knows of the engine at that count is all that an accepted order can meet, whenever it arrives, so an engine can't be ordered over its room: of two orders that expect one count, one is accepted.

- The repetition by which a load or unload is polled expects the present count, so any order accepted after it makes it void.
It carries the version that was ordered, not the newest one announced since.
- An order without an answer keeps its slot until a report shows it carried out, or its count shows that it never will be.
Nothing else is ordered meanwhile; it is itself repeated with the count that it expected, which either is accepted and makes the first one void, or is refused because the first one was carried out.
An unload so keeps its adapter from new requests.
After a failed repetition the others wait for the next report instead of running into their timeouts one by one.
- The load of a base model was repeated each 150 ms without a count; it is ordered once and followed by reports (its load takes longer than they are old), and repeated, guarded, only where the engine does nothing.
- A new owner's first order expects the count that it read, which makes void what the old owner may still have under way.

Tests, failing before: TestEngineIsNotOrderedOverItsRoomByOrderThatWasGivenUp, TestOrderThatWasGivenUpDoesNotFillEngineOverItsRoom, TestAdapterIsNotUsedWhileItsUnloadMayStillArrive, TestLoadWithoutAnswerKeepsItsSlot, TestFirstOrderOfNewOwnerVoidsWhatOldOneGaveUp, TestBaseModelIsOrderedOnce (an adapter used 0.76 s after a start without base model, before 1.17 s).

--- a/upstream/controller/controller.go
+++ b/upstream/controller/controller.go
@@ -24,7 +24,7 @@
 	coldLoadPollInterval = 25 * time.Millisecond
 	// maxReconcileInterval bounds the time from the end of one pass of the reconcile loop to the start of the next.
 	maxReconcileInterval = 100 * time.Millisecond
-	// modelLoadPollInterval is the time between two orders for the load of a base model, also after one that failed.
+	// modelLoadPollInterval is the time between two reports on the load of a base model.
 	modelLoadPollInterval = 150 * time.Millisecond
 	// failureBackoff is the wait after an adapter order or a state query that failed, and the retry delay of the requests refused
 	// because the engine does not respond.
@@ -72,15 +72,17 @@
 	// stateKnown reports that the engine's adapter slots and order count are known; otherwise the next pass queries the engine.
 	stateKnown bool
 	// orderCount is the engine's last reported order count, plus the orders of this VM that it accepted since; repeated adapter
-	// orders are not added.
+	// orders are not added. Each order expects it.
 	orderCount int64
-	// unconfirmedOrders counts the orders since the last report that were not answered, so that the engine may have
-	// accepted them.
-	unconfirmedOrders int64
+	// unanswered is the order whose answer is missing; nil if there is none. The engine may have carried it out or may do so later, up
+	// to the acceptance of another order. No other order is sent meanwhile.
+	unanswered *fuchsiaspoke.EngineOrder
 	// lastOrderTime is the time of the last order sent, also a repeated one; 0 if none was.
 	lastOrderTime time.Duration
 	// modelLoaded reports that the engine's last report contains the base model.
 	modelLoaded bool
+	// busy reports that the engine was loading or unloading a base model when it made its last report.
+	busy bool
 	// unresponsive reports that the last state query to the engine failed.
 	unresponsive bool
 	backoffUntil time.Duration
@@ -235,7 +237,7 @@
 }
 
 // reconcile is one pass of the reconcile loop: it refuses expired requests, queries the engine if its state is unknown, loads the
-// base model if it is missing, polls pending orders, grants the requests that can start, and sends the orders that are due. While the
+// base model if it is missing, resolves the order without an answer, polls pending orders, grants the requests that can start, and sends the orders that are due. While the
 // engine wants a pause from this VM, it only refuses and grants: other VMs may still send the requests.
 func (c *Controller) reconcile(ctx context.Context) {
 	c.refuseExpired()
@@ -250,6 +252,10 @@
 		c.loadModel(ctx)
 		return
 	}
+	if !c.resolveUnanswered(ctx) {
+		c.grantReady()
+		return
+	}
 	c.pollPendingOrders(ctx)
 	c.grantReady()
 	for ctx.Err() == nil {
@@ -288,13 +294,13 @@
 	return c.stateKnown, c.modelLoaded
 }
 
-// nextOrder returns the next order that is due; none is due during the backoff after a failure or while the engine's state is
-// unknown.
+// nextOrder returns the next order that is due; none is due during the backoff after a failure, while the engine's state is unknown, or
+// while an order has no answer.
 func (c *Controller) nextOrder() (scheduler.AdapterOrder, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock()
-	if now < c.backoffUntil || !c.stateKnown {
+	if now < c.backoffUntil || !c.stateKnown || c.unanswered != nil {
 		return scheduler.AdapterOrder{}, false
 	}
 	for _, a := range c.sched.OccupiedSlots() {
--- a/upstream/scheduler/scheduler.go
+++ b/upstream/scheduler/scheduler.go
@@ -91,8 +91,10 @@
 	activeRequests int
 	lastUsedAt     time.Duration
 	orderedAt      time.Duration
-	// expectedReadyAt is the time at which the load is expected to be complete, or is checked again.
+	// expectedReadyAt is the time at which the load or unload is expected to be complete, or is checked again.
 	expectedReadyAt time.Duration
+	// orderedVersion is the version that was ordered last; 0 is the newest that the engine knew.
+	orderedVersion int64
 	// warm means that the adapter was recently resident when its load was ordered.
 	warm bool
 	// staleSince is the time at which the first newer version was announced; 0 if none was since the last RecordLoaded.
--- a/upstream/scheduler/slots.go
+++ b/upstream/scheduler/slots.go
@@ -15,7 +15,7 @@
 	// Load is true for a load order and false for an unload order.
 	Load    bool
 	Adapter string
-	// Version is the version to load; 0 is the latest.
+	// Version is the version to load; 0 is the newest that the engine knows.
 	Version int64
 	// ExpectedLoadTime is the estimated duration of the load.
 	ExpectedLoadTime time.Duration
@@ -95,7 +95,7 @@
 	sl := s.slots[order.Adapter]
 	if !order.Load {
 		if sl != nil {
-			sl.state, sl.orderedAt = unloading, now
+			sl.state, sl.orderedAt, sl.expectedReadyAt = unloading, now, now
 		}
 		return
 	}
@@ -105,6 +105,7 @@
 		s.slots[order.Adapter] = sl
 	}
 	sl.state, sl.orderedAt, sl.expectedReadyAt, sl.warm, sl.lastUsedAt = loading, now, now+order.ExpectedLoadTime, warm, now
+	sl.orderedVersion = order.Version
 }
 
 // RecordLoaded records that the adapter is resident on the engine in the given version; 0, an unknown version, counts as 1.
@@ -181,31 +182,25 @@
 	}
 }
 
-// LoadsToCheck returns the adapters whose load is expected to be complete by now.
-func (s *Scheduler) LoadsToCheck(now time.Duration) []string {
-	var out []string
+// OrdersToCheck returns the orders for the loads that are expected to be complete by now, and for the unloads that are not confirmed.
+func (s *Scheduler) OrdersToCheck(now time.Duration) []AdapterOrder {
+	var out []AdapterOrder
 	for name, sl := range s.slots {
-		if sl.state == loading && now >= sl.expectedReadyAt {
-			out = append(out, name)
+		if sl.state == resident || now < sl.expectedReadyAt {
+			continue
 		}
-	}
-	return out
-}
-
-// PendingUnloads returns the adapters whose unload was ordered and is not confirmed yet.
-func (s *Scheduler) PendingUnloads() []string {
-	var out []string
-	for name, sl := range s.slots {
-		if sl.state == unloading {
-			out = append(out, name)
+		if sl.state == loading {
+			out = append(out, AdapterOrder{Load: true, Adapter: name, Version: sl.orderedVersion})
+		} else {
+			out = append(out, AdapterOrder{Adapter: name})
 		}
 	}
 	return out
 }
 
-// DelayCheck delays the next check of a load that is not complete.
+// DelayCheck delays the next check of a load or an unload that is not complete.
 func (s *Scheduler) DelayCheck(now time.Duration, adapter string, delay time.Duration) {
-	if sl := s.slots[adapter]; sl != nil && sl.state == loading {
+	if sl := s.slots[adapter]; sl != nil && sl.state != resident {
 		sl.expectedReadyAt = now + delay
 	}
 }
