The late end of an admission keeps the one that followed it

An admission is known to an engine's owner by its request's id. A request that is given up and placed anew at the same engine has two of them, and the end of the first, a QUIC reset that the network may hold for seconds, ended both: its adapter's slot was free, and its prompt no longer counted, while the engine ran it. Each end now concerns the admission that it belongs to, and a second one of the same id takes the place of the first.

--- a/upstream/controller/controller.go
+++ b/upstream/controller/controller.go
@@ -63,9 +63,11 @@
 	// LatestVersion returns the newest announced version of an adapter, or 0 if none is announced.
 	LatestVersion func(adapter string) int64
 
-	mu                 sync.Mutex
-	sched              scheduler.Scheduler
+	mu    sync.Mutex
+	sched scheduler.Scheduler
+	// pending holds the admission requests that wait for a decision, and latest the last admission request of each id until it ends.
 	pending            map[string]chan decision
+	latest             map[string]chan decision
 	reconcileRequested chan struct{}
 	stopped            chan struct{}
 	initialized        bool
@@ -106,7 +108,7 @@
 	if req.ExceedsMaxWait(wait) {
 		return send(fuchsiaspoke.AdmissionReply{WaitLimitExceeded: true, Wait: wait})
 	}
-	defer c.cancel(req.ID)
+	defer c.cancel(req.ID, decisions)
 	if err := send(fuchsiaspoke.AdmissionReply{Wait: wait}); err != nil {
 		return err
 	}
@@ -137,21 +139,34 @@
 	if c.unresponsive {
 		return 0, c.unresponsiveRefusal()
 	}
+	if c.latest[req.ID] != nil {
+		c.release(req.ID)
+	}
 	wait, refusal := c.sched.Enqueue(c.Clock(), req)
 	if refusal == nil && !req.ExceedsMaxWait(wait) {
-		c.pending[req.ID] = decisions
+		c.pending[req.ID], c.latest[req.ID] = decisions, decisions
 		c.requestReconcile()
 	}
 	return wait, refusal
 }
 
-// cancel removes a queued admission request, or releases the admission of a granted one.
-func (c *Controller) cancel(id string) {
+// cancel ends the admission request that waits for decisions, unless a later one of the same id has taken its place: a request may be
+// placed anew at the same engine before the end of its first admission arrives.
+func (c *Controller) cancel(id string, decisions chan decision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.latest[id] != decisions {
+		return
+	}
+	c.release(id)
+	c.requestReconcile()
+}
+
+// release removes a queued admission request, or releases the admission of a granted one. The caller holds mu.
+func (c *Controller) release(id string) {
 	delete(c.pending, id)
+	delete(c.latest, id)
 	c.sched.Cancel(c.Clock(), id)
-	c.requestReconcile()
 }
 
 // Progress records that a granted request received its first event or was refused by the engine.
@@ -211,6 +226,7 @@
 	c.reconcileRequested = make(chan struct{}, 1)
 	c.stopped = make(chan struct{})
 	c.pending = make(map[string]chan decision)
+	c.latest = make(map[string]chan decision)
 	c.sched.Limits = c.Limits
 	c.sched.Limits.AdapterSlots = c.Limits.AdapterCapacity(c.Model)
 }
