A heartbeat that arrives late is dropped as a whole

A heartbeat that the network has held behind a later one was left out of the list of VMs, but not elsewhere: the rate limiter of a hub took the lower count of admitted tokens for news and returned to the bucket what its sender had admitted since; what it said of third VMs counted as fresh; and one of a VM's former start was taken for that of a new one, which revived the claims of the former start and ended those of the present one. Now membership tells by number and incarnation which heartbeats are late, and the VM drops these before anything else reads them. The rate limiter checks the number itself, as it does for leaves.

Tests, failing before: TestLateHeartbeatChangesNothing (claims of the former start in force), TestLateHeartbeatReturnsNoTokens.

--- a/contract/ratelimiter/ratelimiter.go
+++ b/contract/ratelimiter/ratelimiter.go
@@ -68,10 +68,11 @@
 }
 
 type peer struct {
-	incarnation    string
-	epoch          uint64
-	lastHeartbeat  time.Duration
-	admittedTokens map[string]float64
+	incarnation     string
+	epoch           uint64
+	heartbeatNumber uint64
+	lastHeartbeat   time.Duration
+	admittedTokens  map[string]float64
 }
 
 // Admit takes the tokens from the client account's bucket, or returns a refusal with a retry delay if the bucket holds too few.
@@ -122,7 +123,7 @@
 	return admittedTokens, bucketLevels
 }
 
-// Observe subtracts the tokens that a peer admitted since its last heartbeat.
+// Observe subtracts the tokens that a peer admitted since its last heartbeat, unless the heartbeat arrives after a later one.
 func (l *RateLimiter) Observe(now time.Duration, state fuchsiaspoke.VMState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -137,10 +138,13 @@
 		}
 		l.peers[state.VM.ID] = known
 	}
+	if state.HeartbeatNumber < known.heartbeatNumber {
+		return
+	}
 	for account, n := range state.AdmittedTokens {
 		l.deduct(account, n-known.admittedTokens[account])
 	}
-	known.admittedTokens, known.lastHeartbeat = state.AdmittedTokens, now
+	known.admittedTokens, known.heartbeatNumber, known.lastHeartbeat = state.AdmittedTokens, state.HeartbeatNumber, now
 	l.addIndirectPeers(now, state.Peers)
 }
 
--- a/contract/ratelimiter/ratelimiter_test.go
+++ b/contract/ratelimiter/ratelimiter_test.go
@@ -213,3 +213,25 @@
 	// <nil>
 	// 500ms
 }
+
+// A heartbeat of a peer arrives after a later one. What the peer admitted since must stay counted.
+func TestLateHeartbeatReturnsNoTokens(t *testing.T) {
+	l := &ratelimiter.RateLimiter{Self: "0", MinFleetSize: 2, Overage: overage}
+	heartbeat := func(number uint64, admitted float64) fuchsiaspoke.VMState {
+		return fuchsiaspoke.VMState{
+			VM: fuchsiaspoke.VM{ID: "1"}, Incarnation: "first", HeartbeatNumber: number, Uptime: time.Second,
+			AdmittedTokens: map[string]float64{account.Name: admitted},
+		}
+	}
+	now := 5 * time.Second
+	l.Observe(now, heartbeat(1, 0))
+	if refusal := l.Admit(now, account, 1); refusal != nil {
+		t.Fatal(refusal)
+	}
+	l.Observe(now, heartbeat(2, 0.4*burst))
+	l.Observe(now, heartbeat(3, 0.8*burst))
+	l.Observe(now, heartbeat(2, 0.4*burst))
+	if l.Admit(now, account, 0.4*burst) == nil {
+		t.Error("a late heartbeat returned the tokens that a peer had admitted")
+	}
+}
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -121,10 +121,10 @@
 	return net.JoinHostPort(host, port)
 }
 
-// receiveHeartbeat applies a heartbeat of another VM, and pulls that VM's published state if it is newer and this VM is not about
+// receiveHeartbeat applies a heartbeat of another VM, unless it arrives after a later one, and pulls that VM's published state if it is newer and this VM is not about
 // to read it from the platform itself.
 func (e *Entry) receiveHeartbeat(s fuchsiaspoke.VMState) {
-	if s.VM.ID == e.VM.ID {
+	if s.VM.ID == e.VM.ID || e.membership.IsLate(s) {
 		return
 	}
 	now := e.timer.Now()
--- a/zone/membership/membership.go
+++ b/zone/membership/membership.go
@@ -82,7 +82,9 @@
 	Peer
 	// heardIncarnation and heartbeatNumber are those of the last heartbeat received here; reports may name a later incarnation.
 	heardIncarnation string
-	heartbeatNumber  uint64
+	// formerIncarnation is the one that was heard here before heardIncarnation.
+	formerIncarnation string
+	heartbeatNumber   uint64
 	// heardSince is when the first of its heartbeats without a gap was received.
 	heardSince time.Duration
 	// lastWanted is when its last heartbeat was received that wants an answer.
@@ -101,19 +103,39 @@
 	lastHeartbeatNumber uint64
 }
 
-// Observe records a received heartbeat, except one that arrives after a later one of the same incarnation. It reports whether
-// the VM, or this incarnation of it, is new.
+// IsLate reports whether a heartbeat arrives after a later one of its VM, or after one of the VM's next incarnation.
+func (m *Membership) IsLate(s fuchsiaspoke.VMState) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[s.VM.ID]
+	return p != nil && p.isLate(s)
+}
+
+func (p *peer) isLate(s fuchsiaspoke.VMState) bool {
+	switch {
+	case !p.EverHeard:
+		return false
+	case s.Incarnation == p.heardIncarnation:
+		return s.HeartbeatNumber < p.heartbeatNumber
+	}
+	return s.Incarnation == p.formerIncarnation
+}
+
+// Observe records a received heartbeat, except one that IsLate. It reports whether the VM, or this incarnation of it, is new.
 func (m *Membership) Observe(now time.Duration, s fuchsiaspoke.VMState) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.initialize()
+	p, _ := m.peer(now, s.VM.ID)
+	if p.isLate(s) {
+		return false
+	}
 	for _, r := range s.Peers {
 		m.mergeReport(now, r)
 	}
-	p, _ := m.peer(now, s.VM.ID)
 	isNew := !p.EverHeard || p.heardIncarnation != s.Incarnation
-	if !isNew && s.HeartbeatNumber < p.heartbeatNumber {
-		return false
+	if isNew {
+		p.formerIncarnation = p.heardIncarnation
 	}
 	m.recordClaims(now, s)
 	m.endClaims(s, !isNew)
--- a/zone/membership/membership_test.go
+++ b/zone/membership/membership_test.go
@@ -193,3 +193,28 @@
 		t.Error("a VM that another hears is not reachable")
 	}
 }
+
+// Heartbeats that the network has held for seconds arrive after later ones, or after those of the VM's next start.
+func TestLateHeartbeatChangesNothing(t *testing.T) {
+	var m membership.Membership
+	m.Observe(0, state(1, 50, "engine_1"))
+	m.Observe(100*time.Millisecond, state(1, 52))
+	if m.Observe(200*time.Millisecond, state(1, 51, "engine_1")) {
+		t.Error("a late heartbeat counts as that of a new VM")
+	}
+	restarted := state(1, 1, "engine_2")
+	restarted.Incarnation = "second"
+	m.Observe(300*time.Millisecond, restarted)
+	if m.Observe(3*time.Second, state(1, 53, "engine_1")) {
+		t.Error("a late heartbeat of the first incarnation counts as that of a new one")
+	}
+	claims := m.Claims()
+	if !claims["engine_1"].Ended || claims["engine_2"].Ended {
+		t.Errorf("claims %+v, want that of the first incarnation ended and that of the second in force", claims)
+	}
+	for _, p := range m.Peers(3 * time.Second) {
+		if p.Incarnation != "second" || p.LastHeard != 300*time.Millisecond {
+			t.Errorf("incarnation %s last heard at %v, want the second one at 300 ms", p.Incarnation, p.LastHeard)
+		}
+	}
+}
