--- a/upstream/controller/lateorder_test.go
+++ b/upstream/controller/lateorder_test.go
@@ -304,6 +304,40 @@
 	}
 }
 
+// If what the old owner gave up arrives before its successor's first order, the successor takes it for an order of another VM.
+func TestNewOwnerGivesUpEngineThatOldOneOrderedLate(t *testing.T) {
+	e := newHeldLinkEngine("a1")
+	old := startController(t, e)
+	e.holdOrders(func(o fuchsiaspoke.EngineOrder) bool { return o.Owner == oldOwner })
+	if granted, _ := admit(t, old, "r2", "a2", 300*time.Millisecond); granted {
+		t.Fatal("granted although its load is held")
+	}
+	awaitHeldOrder(t, e)
+	successor := newController(e)
+	successor.Owner, successor.Fence = "vm_2", 8
+	gaveUp := make(chan struct{}, 1)
+	successor.OnForeignOrder = func() {
+		select {
+		case gaveUp <- struct{}{}:
+		default:
+		}
+	}
+	runController(t, successor)
+	for !successor.View().Accepting {
+		time.Sleep(time.Millisecond)
+	}
+	e.deliver()
+	if granted, _ := admit(t, successor, "r3", "a3", 1500*time.Millisecond); granted {
+		t.Error("the successor loaded an adapter beside one that it doesn't know")
+	}
+	select {
+	case <-gaveUp:
+	case <-time.After(time.Second):
+		t.Error("the successor did not give the engine up")
+	}
+	e.expectNoViolations(t)
+}
+
 // The load of a base model is followed by reports; it is ordered once, with the count that it expects.
 func TestBaseModelIsOrderedOnce(t *testing.T) {
 	e := newHeldLinkEngine()
