Nothing is ordered while an unload waits for its runs

An engine that unloads an adapter in use answers 202, and 409 to all other orders until the runs have ended.

Now no order is due while an unload is in progress, and a report that still lists the adapter doesn't end it; the guarded poll does. The unload that was never answered and never will be carried out ends with the order.

Test, failing before: TestNoOrderIsDueWhileUnloadIsInProgress.

--- a/upstream/controller/report.go
+++ b/upstream/controller/report.go
@@ -74,6 +74,7 @@
 		return
 	}
 	if restarted || c.unanswered.Expected != c.orderCount || c.modelLoaded && carriedOut(*c.unanswered, held) {
+		c.sched.RecordUnloadFailed(c.unanswered.Adapter)
 		c.unanswered = nil
 		return
 	}
--- a/upstream/scheduler/scheduler_test.go
+++ b/upstream/scheduler/scheduler_test.go
@@ -298,3 +298,33 @@
 		t.Errorf("%d loads at once, an engine accepts %d", loads, maxConcurrentLoads)
 	}
 }
+
+// An engine carries out one unload at a time and refuses all other orders meanwhile; its report lists the adapter as resident until then.
+func TestNoOrderIsDueWhileUnloadIsInProgress(t *testing.T) {
+	s := scheduler.Scheduler{Limits: engineLimits()}
+	reported := fuchsiaspoke.ResidentModel{Name: "m"}
+	for n := range engineLimits().AdapterSlots {
+		reported.Adapters = append(reported.Adapters, fuchsiaspoke.Adapter{Name: fmt.Sprint("a", n), Version: 1})
+	}
+	s.ApplyReport(0, reported)
+	mustEnqueue(t, &s, 0, newRequest("1", "new", 800, 1, time.Second, 10*time.Second))
+	mustEnqueue(t, &s, 0, newRequest("2", "other", 800, 1, time.Second, 10*time.Second))
+	unload, due := s.Next(0)
+	if !due || unload.Load {
+		t.Fatalf("next order %+v, due %v, want an unload", unload, due)
+	}
+	s.RecordOrder(0, unload)
+	for _, step := range []string{"after the order", "after a report"} {
+		if order, due := s.Next(0); due {
+			t.Errorf("%s: next order %+v while %s is being unloaded, want none", step, order, unload.Adapter)
+		}
+		if orders := s.OrdersToCheck(time.Second); len(orders) != 1 || orders[0] != unload {
+			t.Errorf("%s: orders in progress %+v, want the unload of %s", step, orders, unload.Adapter)
+		}
+		s.ApplyReport(0, reported)
+	}
+	s.RecordRemoved(0, unload.Adapter)
+	if order, due := s.Next(0); !due || !order.Load {
+		t.Errorf("next order %+v, due %v after the unload, want a load", order, due)
+	}
+}
--- a/upstream/scheduler/slots.go
+++ b/upstream/scheduler/slots.go
@@ -21,14 +21,15 @@
 	ExpectedLoadTime time.Duration
 }
 
-// Next returns the next order to send; false means that none is due.
+// Next returns the next order to send; false means that none is due. None is while an unload is in progress, as the engine refuses all
+// others until it is complete.
 //
 // Loads of newer versions of resident adapters come first. Otherwise the order is for the first queued request whose adapter
 // occupies no slot: a load if a slot is free, or the unload of the least recently used idle adapter.
 func (s *Scheduler) Next(now time.Duration) (AdapterOrder, bool) {
 	s.init()
 	s.sortQueue(now)
-	if s.loadingCount() >= maxConcurrentLoads {
+	if s.countSlots(unloading) > 0 || s.countSlots(loading) >= maxConcurrentLoads {
 		return AdapterOrder{}, false
 	}
 	if order, due := s.nextUpgrade(now); due {
@@ -50,10 +51,10 @@
 	return AdapterOrder{}, false
 }
 
-func (s *Scheduler) loadingCount() int {
+func (s *Scheduler) countSlots(state slotState) int {
 	n := 0
 	for _, sl := range s.slots {
-		if sl.state == loading {
+		if sl.state == state {
 			n++
 		}
 	}
@@ -155,7 +156,7 @@
 }
 
 // ApplyReport replaces the state of the adapter slots with an engine's report. Request counts, last uses and latest versions
-// of reported adapters are carried over, and since when a version is outdated.
+// of reported adapters are carried over, since when a version is outdated, and that an unload is in progress.
 func (s *Scheduler) ApplyReport(now time.Duration, reported fuchsiaspoke.ResidentModel) {
 	s.init()
 	old := s.slots
@@ -163,6 +164,9 @@
 	for _, a := range reported.Adapters {
 		s.RecordLoaded(now, a.Name, a.Version)
 		s.carryOverUsage(old, a.Name)
+		if previous := old[a.Name]; previous != nil && previous.state == unloading {
+			s.RecordOrder(now, AdapterOrder{Adapter: a.Name})
+		}
 	}
 	for _, a := range reported.Loading {
 		if s.slots[a.Name] == nil {
