--- a/upstream/controller/lateorder_test.go
+++ b/upstream/controller/lateorder_test.go
@@ -24,14 +24,13 @@
 
 var errHeld = errors.New("no response: the link is silent")
 
-// heldLinkEngine is an engine behind a link that can fall silent: what is ordered meanwhile is given up by its sender, and carried out
-// when it is delivered.
+// heldLinkEngine is an engine behind a link that can hold orders: these are given up by their sender, and carried out when they are
+// delivered.
 type heldLinkEngine struct {
 	mu sync.Mutex
-	// silent holds all calls, and silentFor those orders for which it returns true.
-	silent    bool
-	silentFor func(fuchsiaspoke.EngineOrder) bool
-	held      []fuchsiaspoke.EngineOrder
+	// isHeld tells which orders the link holds; nil holds none. It is called with mu held.
+	isHeld func(fuchsiaspoke.EngineOrder) bool
+	held   []fuchsiaspoke.EngineOrder
 	// readyAt maps each adapter that occupies a slot to the time at which it is loaded.
 	readyAt map[string]time.Time
 	// modelReadyAt is the time at which the base model is loaded; zero if it was never ordered.
@@ -56,9 +55,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.reports++
-	if e.silent {
-		return fuchsiaspoke.ReplicaReport{}, errHeld
-	}
 	out := fuchsiaspoke.ReplicaReport{Replica: fuchsiaspoke.Replica{StartedAtMs: 1, OrderCount: e.orderCount}}
 	if e.modelReadyAt.IsZero() || time.Now().Before(e.modelReadyAt) {
 		out.Busy = !e.modelReadyAt.IsZero()
@@ -80,7 +76,7 @@
 func (e *heldLinkEngine) Order(_ context.Context, _ fuchsiaspoke.Replica, o fuchsiaspoke.EngineOrder) (fuchsiaspoke.OrderResult, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.silent || e.silentFor != nil && e.silentFor(o) {
+	if e.isHeld != nil && e.isHeld(o) {
 		e.held = append(e.held, o)
 		return fuchsiaspoke.OrderUnknown, errHeld
 	}
@@ -130,17 +126,11 @@
 	return fuchsiaspoke.OrderDone
 }
 
-func (e *heldLinkEngine) setSilent(silent bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.silent = silent
-}
-
 // holdOrders has the link keep those orders for which hold returns true; nil is none.
 func (e *heldLinkEngine) holdOrders(hold func(fuchsiaspoke.EngineOrder) bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.silentFor = hold
+	e.isHeld = hold
 }
 
 // deliver delivers what was held.
