An order can't leave without the count that it expects

EngineOrder had a value, -1, for an order that is carried out whenever it arrives, and nothing uses it any more. It is gone, and the order on the wire always states its count. A load that a report shows in progress is polled in the version that is being loaded; polled without one, it was taken for version 1 and ordered once more.

--- a/engine_order.go
+++ b/engine_order.go
@@ -9,7 +9,7 @@
 	// Version is the adapter version to load; 0 is the newest.
 	Version int64
 	// Expected is the number of orders that the engine must have accepted since its start; with any other count it rejects the
-	// order as a conflict. -1 disables the check.
+	// order as a conflict.
 	Expected int64
 	// Owner is the VM that sends the order, and Fence its fencing token.
 	Owner string
--- a/upstream/controller/controller.go
+++ b/upstream/controller/controller.go
@@ -253,8 +253,9 @@
 }
 
 // reconcile is one pass of the reconcile loop: it refuses expired requests, queries the engine if its state is unknown, loads the
-// base model if it is missing, resolves the order without an answer, polls pending orders, grants the requests that can start, and sends the orders that are due. While the
-// engine wants a pause from this VM, it only refuses and grants: other VMs may still send the requests.
+// base model if it is missing, resolves the order without an answer, polls pending orders, grants the requests that can start, and
+// sends the orders that are due. While the engine wants a pause from this VM, it only refuses and grants: other VMs may still send the
+// requests.
 func (c *Controller) reconcile(ctx context.Context) {
 	c.refuseExpired()
 	if pause := c.Pause(); pause > 0 {
--- a/upstream/controller/report.go
+++ b/upstream/controller/report.go
@@ -12,8 +12,8 @@
 // applied; the caller checks beforehand whether they are known already. It sends nothing and returns false during the backoff
 // after a failure, and within maxReportAge of the last order, which a report might not include yet.
 //
-// If this VM has sent an order and the engine, without a restart, reports more orders than orderCount and the order without an answer allow,
-// another VM is assumed to have sent them: refreshState then calls OnForeignOrder and leaves the state unknown.
+// If this VM has sent an order and the engine, without a restart, reports more orders than maxOrderCount, another VM is assumed to have
+// sent them: refreshState then calls OnForeignOrder and leaves the state unknown.
 func (c *Controller) refreshState(ctx context.Context) bool {
 	c.mu.Lock()
 	tooEarly := c.lastOrderTime > 0 && c.Clock()-c.lastOrderTime < maxReportAge || c.Clock() < c.backoffUntil
--- a/upstream/scheduler/scheduler_test.go
+++ b/upstream/scheduler/scheduler_test.go
@@ -328,3 +328,13 @@
 		t.Errorf("next order %+v, due %v after the unload, want a load", order, due)
 	}
 }
+
+// An order for a load that a report shows in progress repeats the version that is being loaded.
+func TestLoadInProgressIsCheckedInItsVersion(t *testing.T) {
+	s := scheduler.Scheduler{Limits: engineLimits()}
+	s.ApplyReport(0, fuchsiaspoke.ResidentModel{Name: "m", Loading: []fuchsiaspoke.Adapter{{Name: "a1", Version: 3}}})
+	want := scheduler.AdapterOrder{Load: true, Adapter: "a1", Version: 3}
+	if orders := s.OrdersToCheck(time.Minute); len(orders) != 1 || orders[0] != want {
+		t.Errorf("orders in progress %+v, want %+v", orders, want)
+	}
+}
--- a/upstream/scheduler/slots.go
+++ b/upstream/scheduler/slots.go
@@ -170,7 +170,7 @@
 	}
 	for _, a := range reported.Loading {
 		if s.slots[a.Name] == nil {
-			s.RecordOrder(now, AdapterOrder{Load: true, Adapter: a.Name, ExpectedLoadTime: s.coldLoadTime})
+			s.RecordOrder(now, AdapterOrder{Load: true, Adapter: a.Name, Version: a.Version, ExpectedLoadTime: s.coldLoadTime})
 			s.carryOverUsage(old, a.Name)
 		}
 	}
