--- a/upstream/controller/controller.go
+++ b/upstream/controller/controller.go
@@ -24,7 +24,7 @@
 	coldLoadPollInterval = 25 * time.Millisecond
 	// maxReconcileInterval bounds the time from the end of one pass of the reconcile loop to the start of the next.
 	maxReconcileInterval = 100 * time.Millisecond
-	// modelLoadPollInterval is the time between two orders for the load of a base model, also after one that failed.
+	// modelLoadPollInterval is the time between two reports on the load of a base model.
 	modelLoadPollInterval = 150 * time.Millisecond
 	// failureBackoff is the wait after an adapter order or a state query that failed, and the retry delay of the requests refused
 	// because the engine does not respond.
@@ -63,24 +63,28 @@
 	// LatestVersion returns the newest announced version of an adapter, or 0 if none is announced.
 	LatestVersion func(adapter string) int64
 
-	mu                 sync.Mutex
-	sched              scheduler.Scheduler
+	mu    sync.Mutex
+	sched scheduler.Scheduler
+	// pending holds the admission requests that wait for a decision, and latest the last admission request of each id until it ends.
 	pending            map[string]chan decision
+	latest             map[string]chan decision
 	reconcileRequested chan struct{}
 	stopped            chan struct{}
 	initialized        bool
 	// stateKnown reports that the engine's adapter slots and order count are known; otherwise the next pass queries the engine.
 	stateKnown bool
 	// orderCount is the engine's last reported order count, plus the orders of this VM that it accepted since; repeated adapter
-	// orders are not added.
+	// orders are not added. Each order expects it.
 	orderCount int64
-	// unconfirmedOrders counts the orders since the last report that were not answered, so that the engine may have
-	// accepted them.
-	unconfirmedOrders int64
+	// unanswered is the order whose answer is missing; nil if there is none. The engine may have carried it out or may do so later, up
+	// to the acceptance of another order. No other order is sent meanwhile.
+	unanswered *fuchsiaspoke.EngineOrder
 	// lastOrderTime is the time of the last order sent, also a repeated one; 0 if none was.
 	lastOrderTime time.Duration
 	// modelLoaded reports that the engine's last report contains the base model.
 	modelLoaded bool
+	// busy reports that the engine was loading or unloading a base model when it made its last report.
+	busy bool
 	// unresponsive reports that the last state query to the engine failed.
 	unresponsive bool
 	backoffUntil time.Duration
@@ -104,7 +108,7 @@
 	if req.ExceedsMaxWait(wait) {
 		return send(fuchsiaspoke.AdmissionReply{WaitLimitExceeded: true, Wait: wait})
 	}
-	defer c.cancel(req.ID)
+	defer c.cancel(req.ID, decisions)
 	if err := send(fuchsiaspoke.AdmissionReply{Wait: wait}); err != nil {
 		return err
 	}
@@ -135,21 +139,34 @@
 	if c.unresponsive {
 		return 0, c.unresponsiveRefusal()
 	}
+	if c.latest[req.ID] != nil {
+		c.release(req.ID)
+	}
 	wait, refusal := c.sched.Enqueue(c.Clock(), req)
 	if refusal == nil && !req.ExceedsMaxWait(wait) {
-		c.pending[req.ID] = decisions
+		c.pending[req.ID], c.latest[req.ID] = decisions, decisions
 		c.requestReconcile()
 	}
 	return wait, refusal
 }
 
-// cancel removes a queued admission request, or releases the admission of a granted one.
-func (c *Controller) cancel(id string) {
+// cancel ends the admission request that waits for decisions, unless a later one of the same id has taken its place: a request may be
+// placed anew at the same engine before the end of its first admission arrives.
+func (c *Controller) cancel(id string, decisions chan decision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.latest[id] != decisions {
+		return
+	}
+	c.release(id)
+	c.requestReconcile()
+}
+
+// release removes a queued admission request, or releases the admission of a granted one. The caller holds mu.
+func (c *Controller) release(id string) {
 	delete(c.pending, id)
+	delete(c.latest, id)
 	c.sched.Cancel(c.Clock(), id)
-	c.requestReconcile()
 }
 
 // Progress records that a granted request received its first event or was refused by the engine.
@@ -209,6 +226,7 @@
 	c.reconcileRequested = make(chan struct{}, 1)
 	c.stopped = make(chan struct{})
 	c.pending = make(map[string]chan decision)
+	c.latest = make(map[string]chan decision)
 	c.sched.Limits = c.Limits
 	c.sched.Limits.AdapterSlots = c.Limits.AdapterCapacity(c.Model)
 }
@@ -235,8 +253,9 @@
 }
 
 // reconcile is one pass of the reconcile loop: it refuses expired requests, queries the engine if its state is unknown, loads the
-// base model if it is missing, polls pending orders, grants the requests that can start, and sends the orders that are due. While the
-// engine wants a pause from this VM, it only refuses and grants: other VMs may still send the requests.
+// base model if it is missing, resolves the order without an answer, polls pending orders, grants the requests that can start, and
+// sends the orders that are due. While the engine wants a pause from this VM, it only refuses and grants: other VMs may still send the
+// requests.
 func (c *Controller) reconcile(ctx context.Context) {
 	c.refuseExpired()
 	if pause := c.Pause(); pause > 0 {
@@ -250,6 +269,10 @@
 		c.loadModel(ctx)
 		return
 	}
+	if !c.resolveUnanswered(ctx) {
+		c.grantReady()
+		return
+	}
 	c.pollPendingOrders(ctx)
 	c.grantReady()
 	for ctx.Err() == nil {
@@ -288,13 +311,13 @@
 	return c.stateKnown, c.modelLoaded
 }
 
-// nextOrder returns the next order that is due; none is due during the backoff after a failure or while the engine's state is
-// unknown.
+// nextOrder returns the next order that is due; none is due during the backoff after a failure, while the engine's state is unknown, or
+// while an order has no answer.
 func (c *Controller) nextOrder() (scheduler.AdapterOrder, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock()
-	if now < c.backoffUntil || !c.stateKnown {
+	if now < c.backoffUntil || !c.stateKnown || c.unanswered != nil {
 		return scheduler.AdapterOrder{}, false
 	}
 	for _, a := range c.sched.OccupiedSlots() {
--- a/upstream/scheduler/slots.go
+++ b/upstream/scheduler/slots.go
@@ -15,20 +15,21 @@
 	// Load is true for a load order and false for an unload order.
 	Load    bool
 	Adapter string
-	// Version is the version to load; 0 is the latest.
+	// Version is the version to load; 0 is the newest that the engine knows.
 	Version int64
 	// ExpectedLoadTime is the estimated duration of the load.
 	ExpectedLoadTime time.Duration
 }
 
-// Next returns the next order to send; false means that none is due.
+// Next returns the next order to send; false means that none is due. None is while an unload is in progress, as the engine refuses all
+// others until it is complete.
 //
 // Loads of newer versions of resident adapters come first. Otherwise the order is for the first queued request whose adapter
 // occupies no slot: a load if a slot is free, or the unload of the least recently used idle adapter.
 func (s *Scheduler) Next(now time.Duration) (AdapterOrder, bool) {
 	s.init()
 	s.sortQueue(now)
-	if s.loadingCount() >= maxConcurrentLoads {
+	if s.countSlots(unloading) > 0 || s.countSlots(loading) >= maxConcurrentLoads {
 		return AdapterOrder{}, false
 	}
 	if order, due := s.nextUpgrade(now); due {
@@ -50,10 +51,10 @@
 	return AdapterOrder{}, false
 }
 
-func (s *Scheduler) loadingCount() int {
+func (s *Scheduler) countSlots(state slotState) int {
 	n := 0
 	for _, sl := range s.slots {
-		if sl.state == loading {
+		if sl.state == state {
 			n++
 		}
 	}
@@ -95,7 +96,7 @@
 	sl := s.slots[order.Adapter]
 	if !order.Load {
 		if sl != nil {
-			sl.state, sl.orderedAt = unloading, now
+			sl.state, sl.orderedAt, sl.expectedReadyAt = unloading, now, now
 		}
 		return
 	}
@@ -105,6 +106,7 @@
 		s.slots[order.Adapter] = sl
 	}
 	sl.state, sl.orderedAt, sl.expectedReadyAt, sl.warm, sl.lastUsedAt = loading, now, now+order.ExpectedLoadTime, warm, now
+	sl.orderedVersion = order.Version
 }
 
 // RecordLoaded records that the adapter is resident on the engine in the given version; 0, an unknown version, counts as 1.
@@ -154,7 +156,7 @@
 }
 
 // ApplyReport replaces the state of the adapter slots with an engine's report. Request counts, last uses and latest versions
-// of reported adapters are carried over, and since when a version is outdated.
+// of reported adapters are carried over, since when a version is outdated, and that an unload is in progress.
 func (s *Scheduler) ApplyReport(now time.Duration, reported fuchsiaspoke.ResidentModel) {
 	s.init()
 	old := s.slots
@@ -162,10 +164,13 @@
 	for _, a := range reported.Adapters {
 		s.RecordLoaded(now, a.Name, a.Version)
 		s.carryOverUsage(old, a.Name)
+		if previous := old[a.Name]; previous != nil && previous.state == unloading {
+			s.RecordOrder(now, AdapterOrder{Adapter: a.Name})
+		}
 	}
 	for _, a := range reported.Loading {
 		if s.slots[a.Name] == nil {
-			s.RecordOrder(now, AdapterOrder{Load: true, Adapter: a.Name, ExpectedLoadTime: s.coldLoadTime})
+			s.RecordOrder(now, AdapterOrder{Load: true, Adapter: a.Name, Version: a.Version, ExpectedLoadTime: s.coldLoadTime})
 			s.carryOverUsage(old, a.Name)
 		}
 	}
@@ -181,31 +186,25 @@
 	}
 }
 
-// LoadsToCheck returns the adapters whose load is expected to be complete by now.
-func (s *Scheduler) LoadsToCheck(now time.Duration) []string {
-	var out []string
+// OrdersToCheck returns the orders for the loads that are expected to be complete by now, and for the unloads that are not confirmed.
+func (s *Scheduler) OrdersToCheck(now time.Duration) []AdapterOrder {
+	var out []AdapterOrder
 	for name, sl := range s.slots {
-		if sl.state == loading && now >= sl.expectedReadyAt {
-			out = append(out, name)
+		if sl.state == resident || now < sl.expectedReadyAt {
+			continue
 		}
-	}
-	return out
-}
-
-// PendingUnloads returns the adapters whose unload was ordered and is not confirmed yet.
-func (s *Scheduler) PendingUnloads() []string {
-	var out []string
-	for name, sl := range s.slots {
-		if sl.state == unloading {
-			out = append(out, name)
+		if sl.state == loading {
+			out = append(out, AdapterOrder{Load: true, Adapter: name, Version: sl.orderedVersion})
+		} else {
+			out = append(out, AdapterOrder{Adapter: name})
 		}
 	}
 	return out
 }
 
-// DelayCheck delays the next check of a load that is not complete.
+// DelayCheck delays the next check of a load or an unload that is not complete.
 func (s *Scheduler) DelayCheck(now time.Duration, adapter string, delay time.Duration) {
-	if sl := s.slots[adapter]; sl != nil && sl.state == loading {
+	if sl := s.slots[adapter]; sl != nil && sl.state != resident {
 		sl.expectedReadyAt = now + delay
 	}
 }
