A VM's read of the platform confirms states, not a peer's word for it

Cause: heartbeats passed on the age of a state, without the heartbeat's own delay, and each receiver took over the younger age. Two VMs that confirm each other gain one delay with each heartbeat, so that among hubs a state hardly ages while nobody reads.

Change: a state is confirmed by a reading, a read of the platform by one VM: the reader's number (drawn from its incarnation, so that a restart is another reader), a count of its reads, and the time since. A VM remembers the last reading of each reader and when it was made by its own clock; the same reading told again may only make it older (a report is late, never early), an earlier one counts for nothing. So each reading gains at most the delays of the links on its first way, three in a large fleet, however often it is told. Clocks are never compared, only durations. A datagram that lay in the socket of a suspended process is put right by the next peer. Leaves name only their own reads to hubs, as hubs tell each other the rest, and further datagrams of a heartbeat name none.

Bytes: the simulation now sends the reading, as it never sent the age.

A fleet half old, half new: an old VM takes a new one's heartbeat for a confirmation of age 0, as its field is missing, until it is replaced; a new VM takes no confirmation from an old one and reads for itself.

The same class elsewhere, looked for: - zone/relayer of the own API: a peer with the same documents confirms them, whoever confirmed the peer. No age is passed on, but two VMs that are both behind confirm each other.

--- a/contract/watcher/apply.go
+++ b/contract/watcher/apply.go
@@ -159,6 +159,9 @@
 	if revision.NewerThan(next.Revision) {
 		next.Revision = revision
 	}
+	w.lastRead++
 	next.ReadAt = w.Clock()
+	next.Reading = fuchsiaspoke.Reading{Reader: max(w.Reader, 1), Number: w.lastRead}
+	w.readings.observe(next.ReadAt, next.Reading)
 	w.state.Store(&next)
 }
--- a/contract/watcher/epoch_test.go
+++ b/contract/watcher/epoch_test.go
@@ -156,7 +156,7 @@
 		t.Errorf("revision %s, want 2.60 with its replica", got)
 	}
 	w.ApplyRelay(nil, relay(1, 950, "late"), "peer")
-	w.ConfirmRevision(fuchsiaspoke.Revision{Epoch: 1, Number: 60}, 0)
+	w.ConfirmRevision(fuchsiaspoke.Revision{Epoch: 1, Number: 60}, fuchsiaspoke.Reading{Reader: 2, Number: 1})
 	if got := w.Published().Revision; got.Epoch != 2 || stateOf(w, "late") != "" {
 		t.Errorf("revision %s after a relay of an older epoch, want 2.60", got)
 	}
--- a/contract/watcher/relay.go
+++ b/contract/watcher/relay.go
@@ -53,7 +53,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p := w.Published()
-	r := fuchsiaspoke.PublicationRelay{Revision: p.Revision, Since: query.Revision, Age: w.Clock() - p.ReadAt}
+	r := fuchsiaspoke.PublicationRelay{Revision: p.Revision, Since: query.Revision, Reading: p.Reading.WithAge(w.Clock() - p.ReadAt).Report()}
 	if p.Contract != nil {
 		r.ContractVersion = p.Contract.Version
 	}
@@ -72,24 +72,37 @@
 	return r
 }
 
-// ConfirmRevision records that, according to a peer, the revision was still the platform's newest one the given time ago. If the
-// state in force has a contract and is at that revision, it counts as read at that time, and missing replicas whose grace period
-// is over are removed from it.
-func (w *Watcher) ConfirmRevision(revision fuchsiaspoke.Revision, age time.Duration) {
+// ConfirmRevision records that, according to a peer, a reading found nothing newer than the revision. If the state in force has a
+// contract and is at that revision, it counts as read then, and missing replicas whose grace period is over are removed from it. VMs
+// that repeat each other's reports don't make a reading younger.
+func (w *Watcher) ConfirmRevision(revision fuchsiaspoke.Revision, reading fuchsiaspoke.Reading) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next := *w.Published()
 	if revision != next.Revision || next.Contract == nil {
+		w.readings.observe(w.Clock(), reading)
 		return
 	}
 	if len(w.missingSince) > 0 {
 		next.Replicas = maps.Clone(next.Replicas)
 		w.removeExpired(&next)
 	}
-	next.ReadAt = max(next.ReadAt, w.Clock()-age)
+	w.applyReading(&next, reading)
 	w.state.Store(&next)
 }
 
+// applyReading records that a reading found nothing newer than next, unless a later one did or the reader has made another one since.
+func (w *Watcher) applyReading(next *fuchsiaspoke.PublishedState, reading fuchsiaspoke.Reading) {
+	readAt, isLast := w.readings.observe(w.Clock(), reading)
+	switch {
+	case !isLast:
+	case reading.SameRead(next.Reading):
+		next.ReadAt = min(next.ReadAt, readAt)
+	case readAt > next.ReadAt:
+		next.Reading, next.ReadAt = reading, readAt
+	}
+}
+
 // ApplyRelay applies publications received from a peer. It ignores revisions that are not newer than the one in force, changes
 // that leave a gap after it, and publications that depend on a contract that this VM does not have.
 func (w *Watcher) ApplyRelay(c *fuchsiaspoke.Contract, r fuchsiaspoke.PublicationRelay, from string) {
@@ -136,10 +149,12 @@
 	}
 }
 
-// recordRelay logs an applied relay, and takes over its revision and the time at which the platform was read.
+// recordRelay logs an applied relay, and takes over its revision and the reading that found it.
 func (w *Watcher) recordRelay(next *fuchsiaspoke.PublishedState, r fuchsiaspoke.PublicationRelay, from string) {
-	w.Log("publications relayed", "from", from, "revision", r.Revision.String(), "changes", len(r.Changes), "whole", r.Whole,
-		"read_ms_ago", r.Age.Milliseconds())
 	next.Revision = r.Revision
-	next.ReadAt = max(next.ReadAt, w.Clock()-r.Age)
+	if r.Reading != nil {
+		w.applyReading(next, *r.Reading)
+	}
+	w.Log("publications relayed", "from", from, "revision", r.Revision.String(), "changes", len(r.Changes), "whole", r.Whole,
+		"read_ms_ago", (w.Clock() - next.ReadAt).Milliseconds())
 }
--- a/contract/watcher/relay_test.go
+++ b/contract/watcher/relay_test.go
@@ -23,7 +23,7 @@
 // relayFromPeer transfers the state of one watcher to another, as heartbeats and the call published.get do between VMs.
 func relayFromPeer(to, from *watcher.Watcher) {
 	known := from.Published()
-	to.ConfirmRevision(known.Revision, 0)
+	to.ConfirmRevision(known.Revision, known.Reading.WithAge(from.Clock()-known.ReadAt))
 	if known.Revision.NewerThan(to.Published().Revision) {
 		to.ApplyRelay(known.Contract, from.ChangesFor(fuchsiaspoke.PublicationQuery{Revision: to.Published().Revision}), "peer")
 	}
@@ -89,9 +89,9 @@
 	waitUntil(t, time.Second, "the contract", func() bool { return contractVersion(w) == 1 })
 	for n := range 5 {
 		// The watcher's last call to the platform must be longer ago than the minimum time between two calls.
-		for range 10 {
+		for i := range 10 {
 			time.Sleep(changeLimit / 20)
-			w.ConfirmRevision(w.Published().Revision, 0)
+			w.ConfirmRevision(w.Published().Revision, fuchsiaspoke.Reading{Reader: 2, Number: uint32(10*n + i)})
 		}
 		p.publish(replicaPublication(fmt.Sprint(n)))
 		w.ObserveMissedRevision(revision(w.Published().Revision.Number + 1))
--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -54,6 +54,8 @@
 	Clock func() time.Duration
 	// PropagationLimit is the time within which a published change must be in force on this VM.
 	PropagationLimit time.Duration
+	// Reader is the number by which other VMs know the reads of this one; 0 stands for 1.
+	Reader uint16
 	// IsReader reports whether this VM reads the platform for others. Any other VM calls the platform only while its own state is
 	// stale or older than a peer's. Nil means true.
 	IsReader func() bool
@@ -74,6 +76,9 @@
 	newestMissed atomic.Pointer[fuchsiaspoke.Revision]
 	// missingSince holds, by publication name, when a replica that is kept after an outage was first missing from a full list.
 	missingSince map[string]time.Duration
+	// lastRead is the number of this VM's last successful read, and readings what is known of other VMs' reads.
+	lastRead     uint32
+	readings     readings
 	withdrawals  withdrawals
 	drainNotices drainNotices
 	// failing is whether the last call to the platform failed; recoveredAt is when the last outage ended.
--- a/published_state.go
+++ b/published_state.go
@@ -11,9 +11,10 @@
 	Replicas map[string]Replica
 	// Versions maps base models to their adapters and these to the newest announced version.
 	Versions map[string]map[string]int64
-	// Revision is the platform revision of the copy, and ReadAt the latest time at which it is known to have been current, as
-	// time since the process started.
+	// Revision is the platform revision of the copy. Reading is the latest read of the platform, by this VM or another one, that is
+	// known to have found nothing newer, and ReadAt its time since the process started.
 	Revision Revision
+	Reading  Reading
 	ReadAt   time.Duration
 }
 
@@ -57,8 +58,8 @@
 	Since    Revision                 `cbor:"12,keyasint,omitempty"`
 	Changes  []PublicationChange      `cbor:"9,keyasint,omitempty"`
 	Revision Revision                 `cbor:"11,keyasint"`
-	// Age is the time since the responder's copy was known to be current.
-	Age time.Duration `cbor:"5,keyasint"`
+	// Reading is the latest read of the platform that found nothing newer than Revision; nil if none is known.
+	Reading *Reading `cbor:"13,keyasint,omitempty"`
 }
 
 // PublicationChange is a change of a replica or an adapter version; a contract is sent as ContractRaw of the PublicationRelay.
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -197,7 +197,7 @@
 	e.dialer = &dialer.Dialer{TLS: e.tls, IdleTimeout: linkIdleTimeout}
 	e.watcher = &watcher.Watcher{
 		Platform: e.Platform.Publisher, Clock: e.timer.Now, PropagationLimit: e.Bounds.DrainLimit,
-		IsReader: e.isReader, Log: e.Log, Count: e.CountEvent,
+		Reader: fuchsiaspoke.ReaderID(e.incarnation), IsReader: e.isReader, Log: e.Log, Count: e.CountEvent,
 	}
 	e.permitter = &permitter.Permitter{
 		Published: e.watcher.Published, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -84,7 +84,7 @@
 		VM: e.VM, Incarnation: e.incarnation, HeartbeatNumber: number, Uptime: now, Ready: e.Ready(),
 		Draining:       e.Leaving(),
 		AdmittedTokens: admittedTokens, BucketLevels: bucketLevels, Acks: acks, RateShare: rateShare,
-		Revision: p.Revision, ReadAge: now - p.ReadAt, Engines: e.requester.Views(),
+		Revision: p.Revision, Reading: p.Reading.WithAge(now - p.ReadAt).Report(), Engines: e.requester.Views(),
 		DrainingReplicas: e.drainingReplicas(number),
 	}
 	if p.Contract != nil {
@@ -137,7 +137,9 @@
 	}
 	e.observeRates(now, s)
 	p := e.watcher.Published()
-	e.watcher.ConfirmRevision(s.Revision, s.ReadAge)
+	if s.Reading != nil {
+		e.watcher.ConfirmRevision(s.Revision, *s.Reading)
+	}
 	e.watcher.ObservePeerContract(s.ContractVersion)
 	newerContract := s.ContractVersion > 0 && (p.Contract == nil || s.ContractVersion > p.Contract.Version)
 	shouldPull := s.Revision.NewerThan(p.Revision) && (e.watcher.Stale() || !e.isReader())
--- a/vm_state.go
+++ b/vm_state.go
@@ -24,8 +24,8 @@
 	Peers []ReportedPeer `cbor:"10,keyasint,omitempty"`
 	// Revision is the newest platform revision known to the VM.
 	Revision Revision `cbor:"20,keyasint,omitempty"`
-	// ReadAge is the time since Revision was known to be the platform's newest.
-	ReadAge time.Duration `cbor:"13,keyasint,omitempty"`
+	// Reading is the latest read of the platform that found nothing newer than Revision; nil if none is reported.
+	Reading *Reading `cbor:"22,keyasint,omitempty"`
 	// Hub reports that the VM exchanges heartbeats with all other hubs and may own engines. Any other VM is a leaf: it exchanges
 	// heartbeats with two hubs only.
 	Hub bool `cbor:"14,keyasint,omitempty"`
@@ -38,7 +38,7 @@
 	RateShare float64 `cbor:"17,keyasint,omitempty"`
 	// WantsAnswer reports that the sender takes the receiver for a hub and waits for its heartbeats.
 	WantsAnswer bool `cbor:"18,keyasint,omitempty"`
-	// Continuation reports that this is a further datagram of a heartbeat, without AdmittedTokens, BucketLevels, Acks and
+	// Continuation reports that this is a further datagram of a heartbeat, without AdmittedTokens, BucketLevels, Acks, Reading and
 	// DrainingReplicas.
 	Continuation bool `cbor:"19,keyasint,omitempty"`
 	// DrainingReplicas are replicas that have reported that they drain, a part of them in each heartbeat.
@@ -48,7 +48,7 @@
 // AsContinuation returns the state for a further datagram of the same heartbeat.
 func (s VMState) AsContinuation() VMState {
 	s.Continuation = true
-	s.AdmittedTokens, s.BucketLevels, s.Acks, s.DrainingReplicas = nil, nil, nil, nil
+	s.AdmittedTokens, s.BucketLevels, s.Acks, s.Reading, s.DrainingReplicas = nil, nil, nil, nil, nil
 	return s
 }
 
--- a/zone/exchanger/exchanger.go
+++ b/zone/exchanger/exchanger.go
@@ -132,9 +132,13 @@
 }
 
 // composeAsLeaf returns this VM's state for its hubs; only the first of them is told of admitted tokens. Other VMs that sent
-// heartbeats here are answered, as they take this VM for a hub.
+// heartbeats here are answered, as they take this VM for a hub. Of readings only this VM's own is named, as hubs tell each other the
+// rest.
 func (x *Exchanger) composeAsLeaf(now time.Duration, s fuchsiaspoke.VMState, t targets, leafOf []string) []Batch {
 	s.Engines, s.BucketLevels, s.Acks, s.RateShare, s.WantsAnswer = nil, nil, nil, 0, true
+	if s.Reading != nil && s.Reading.Reader != fuchsiaspoke.ReaderID(s.Incarnation) {
+		s.Reading = nil
+	}
 	other := s
 	other.AdmittedTokens = nil
 	first := min(1, len(leafOf))
--- a/zone/exchanger/simulation_test.go
+++ b/zone/exchanger/simulation_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/watcher"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/exchanger"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/membership"
 	"github.com/fxamacker/cbor/v2"
@@ -48,17 +49,26 @@
 	loss      float64
 	bytes     map[string]int
 	bursts    int
+	// extraDelay is added to the delay of each link.
+	extraDelay time.Duration
+	// readAt holds the time of each read of the platform by its reader and number, and refused the VMs that the platform turns away.
+	readAt  map[fuchsiaspoke.Reading]time.Duration
+	refused map[string]bool
 }
 
 type simulatedVM struct {
 	id         string
+	index      int
 	vm         fuchsiaspoke.VM
 	membership *membership.Membership
 	exchanger  *exchanger.Exchanger
+	watcher    *watcher.Watcher
 	started    time.Duration
 	number     uint64
 	generation int
 	running    bool
+	// reads is the number of times that the VM read the platform.
+	reads uint32
 }
 
 type event struct {
@@ -81,9 +91,10 @@
 
 func newSimulation(vms int, loss float64) *simulation {
 	s := &simulation{rng: rand.New(rand.NewPCG(*seed, uint64(vms))), loss: loss, bytes: map[string]int{}, byAddress: map[string]*simulatedVM{}}
+	s.readAt, s.refused = map[fuchsiaspoke.Reading]time.Duration{}, map[string]bool{}
 	for n := range vms {
 		ip := fmt.Sprintf("10.1.%d.%d", n/200, n%200)
-		v := &simulatedVM{id: ip, vm: fuchsiaspoke.VM{
+		v := &simulatedVM{id: ip, index: n, vm: fuchsiaspoke.VM{
 			ID: ip, Zone: fuchsiaspoke.Zone(fmt.Sprint("zone_", n%zones)), LinkAddress: ip + ":7601", CallerAddress: ip + ":8221",
 			Capacity: 0.2 + 0.2*float32(n%4),
 		}}
@@ -115,6 +126,7 @@
 	v.generation++
 	v.membership = &membership.Membership{Self: v.id}
 	v.exchanger = &exchanger.Exchanger{Self: v.vm, Membership: v.membership, Address: heartbeatAddress}
+	v.watcher = s.newWatcher(v)
 	s.beat(v, v.generation)
 }
 
@@ -131,9 +143,11 @@
 	v.number++
 	local := s.now - v.started
 	role := v.exchanger.UpdateRole(local, local > time.Second, false)
+	published := v.watcher.Published()
 	state := fuchsiaspoke.VMState{
-		VM: v.vm, Incarnation: fmt.Sprint("incarnation", generation), HeartbeatNumber: v.number, Uptime: local, Ready: local > time.Second,
-		Revision: fuchsiaspoke.Revision{Epoch: 2, Number: 12345}, ContractVersion: 17,
+		VM: v.vm, Incarnation: v.incarnation(), HeartbeatNumber: v.number, Uptime: local, Ready: local > time.Second,
+		Revision: published.Revision, ContractVersion: published.Contract.Version,
+		Reading: published.Reading.WithAge(local - published.ReadAt).Report(),
 	}
 	if role.Hub {
 		for e := range enginesPerHub {
@@ -159,10 +173,13 @@
 		return
 	}
 	v := s.byAddress[address]
-	s.at(s.now+linkDelay+time.Duration(s.rng.IntN(1000))*time.Microsecond, func() {
+	s.at(s.now+linkDelay+s.extraDelay+time.Duration(s.rng.IntN(1000))*time.Microsecond, func() {
 		if v.running && state.VM.ID != v.id {
 			s.bytes[v.id] += size
 			v.membership.Observe(s.now-v.started, state)
+			if state.Reading != nil {
+				v.watcher.ConfirmRevision(state.Revision, *state.Reading)
+			}
 		}
 	})
 }
@@ -227,6 +244,7 @@
 	} else {
 		t.Logf("all VMs know each other after %v", took)
 	}
+	s.startReading()
 	s.runUntil(s.now + 15*time.Second)
 	clear(s.bytes)
 	s.bursts = 0
