VMs that read the platform for all read in turns

What callers saw: nothing; the platform saw more calls. Now that VMs know how old their state truly is, leaves find it stale (0.8 s) where the readers happen to read at the same time: a read each 0.6 s and two heartbeats of 0.3 s on the way.

Cause: each reader's phase is that of its start, kept for good.

Change: after a read, a reader moves its next one toward the middle between the reads of others before and after it, by what readings tell (DESYNC), only to later times, so that the least interval holds. Of two VMs within 50 ms the one with the higher number moves.

Ruled out: a higher age before VMs read for themselves (leaves no time for a lost call within the limit); more readers (more calls).

--- a/contract/watcher/apply.go
+++ b/contract/watcher/apply.go
@@ -161,7 +161,7 @@
 	}
 	w.lastRead++
 	next.ReadAt = w.Clock()
-	next.Reading = fuchsiaspoke.Reading{Reader: max(w.Reader, 1), Number: w.lastRead}
+	next.Reading = fuchsiaspoke.Reading{Reader: w.reader(), Number: w.lastRead}
 	w.readings.observe(next.ReadAt, next.Reading)
 	w.state.Store(&next)
 }
--- a/contract/watcher/readings.go
+++ b/contract/watcher/readings.go
@@ -7,8 +7,14 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 )
 
-// readingRetention is how long the last read of a VM is remembered.
-const readingRetention = time.Minute
+const (
+	// readingRetention is how long the last read of a VM is remembered.
+	readingRetention = time.Minute
+	// spreadTolerance is the time between two reads within which their order is uncertain, as reports of reads are delayed.
+	spreadTolerance = 50 * time.Millisecond
+	// spreadRate is the part of the way to the middle between its neighbours by which a reader moves its next read.
+	spreadRate = 0.3
+)
 
 // observedReading is the last known read of a VM, and the time at which it was made by this VM's clock.
 type observedReading struct {
@@ -44,3 +50,31 @@
 	r.byReader[reading.Reader] = observedReading{reading.Number, readAt}
 	return readAt, true
 }
+
+// spreadDelay returns how much later than after the interval a VM that has just read should read again, to be in the middle between the
+// reads of others before and after it. Without others, or where it is in the middle already, this is 0. Method: DESYNC (Degesys, Rose,
+// Patel, Nagpal, 2007), with moves to later times only.
+func (r *readings) spreadDelay(now time.Duration, self uint16, interval time.Duration) time.Duration {
+	before, after := interval, interval
+	for reader, o := range r.byReader {
+		age := now - o.readAt
+		if reader == self || age > 2*interval {
+			continue
+		}
+		phase := age % interval
+		if min(phase, interval-phase) < spreadTolerance {
+			phase = simultaneousPhase(reader, self, interval)
+		}
+		before, after = min(before, phase), min(after, interval-phase)
+	}
+	return time.Duration(spreadRate * float64(max(after-before, 0)) / 2)
+}
+
+// simultaneousPhase returns the time since the read of another VM that read at the same time: of two VMs, the one with the lower number
+// counts as the earlier one.
+func simultaneousPhase(reader, self uint16, interval time.Duration) time.Duration {
+	if reader < self {
+		return 0
+	}
+	return interval
+}
--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -118,12 +118,12 @@
 			relist = true
 			continue
 		}
-		wait := w.readInterval() - (w.Clock() - started)
+		wait := retryDelay
 		if err != nil {
-			wait = retryDelay
 			failures++
 		} else {
 			failures, relist = 0, false
+			wait = w.readInterval() - (w.Clock() - started) + w.spreadDelay()
 		}
 		sleeper.Sleep(ctx, wait)
 	}
@@ -205,6 +205,16 @@
 	return max(time.Duration(readIntervalRatio*float64(w.PropagationLimit)), minReadInterval)
 }
 
+// spreadDelay returns how much later than after readInterval this VM should read again, so that readers read in turns.
+func (w *Watcher) spreadDelay() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.readings.spreadDelay(w.Clock(), w.reader(), w.readInterval())
+}
+
+// reader returns the number by which other VMs know the reads of this one.
+func (w *Watcher) reader() uint16 { return max(w.Reader, 1) }
+
 // readOnce makes one call to the platform. After a failure the call requests no wait, so that one that is lost in an outage times
 // out soon after the outage ends.
 func (w *Watcher) readOnce(ctx context.Context, relist bool, failures int) error {
--- a/zone/exchanger/reading_test.go
+++ b/zone/exchanger/reading_test.go
@@ -15,6 +15,8 @@
 	// readInterval is the time between two reads of a VM that reads the platform for others, and readers the number of these VMs.
 	readInterval = 600 * time.Millisecond
 	readers      = 3
+	// vmsPerCall is the number of VMs for which the platform may be called once a second by VMs that don't read for others.
+	vmsPerCall = 20
 	// staleCheckInterval is the interval at which any other VM checks whether its state is stale.
 	staleCheckInterval = 50 * time.Millisecond
 	// maxHops is the largest number of links from a VM that reads the platform to any other VM: from a leaf to its hub, to another hub,
@@ -79,6 +81,23 @@
 	return out
 }
 
+// While nothing changes, VMs that don't read for others hardly call the platform, if those that do read in turns.
+func TestFewVMsReadThePlatformAtRest(t *testing.T) {
+	s := newSimulation(*fleetSize, 0.01)
+	s.runUntil(12 * time.Second)
+	s.startReading()
+	s.runUntil(s.now + 3*time.Second)
+	const seconds = 20
+	clear(s.readAt)
+	s.runUntil(s.now + seconds*time.Second)
+	readsForOthers := int(readers * seconds * time.Second / readInterval)
+	n := len(s.readAt) - readsForOthers
+	t.Logf("%d calls by %d VMs that don't read for others in %d s", n, len(s.vms)-readers, seconds)
+	if n > seconds*len(s.vms)/vmsPerCall {
+		t.Errorf("%d calls, want at most one a second for each %d VMs", n, vmsPerCall)
+	}
+}
+
 // refuseReaders runs a fleet whose heartbeats take 50 ms, has the platform turn away the VMs that read for all, and calls check each
 // 100 ms after that.
 func refuseReaders(t *testing.T, loss float64, check func(s *simulation)) {
