Proofs take a VM for suspended only once all its threads have stopped

What was seen: TestWithdrawnKeyStopsAtAVMThatWakes failed once beside load (KNOWN-RED.txt): a VM "just awake" had answered requests of a withdrawn key with 200. No caller was served wrongly: the VM had answered 10 ms after SIGSTOP was sent, before it stopped.

Cause: kill(2) returns before the process has stopped. One thread has to be scheduled to take the signal, then the others; on a busy machine this takes long enough for the key to be withdrawn and for requests to be sent and served, well within the 3 s that a VM has.

Change: signalVM waits after SIGSTOP until /proc shows each thread of the VM as stopped. The proofs check more than before, as requests sent after that can't be served before the VM wakes.

Ruled out: confirmation by peers that are behind themselves (zone/relayer; the peers had the withdrawal). It remains a weakness of the own API: a VM's documents are confirmed by any peer with the same ones, whoever confirmed the peer. Not seen to fail. Twins: the soak of platform/server sends SIGSTOP, too, but checks nothing at that moment.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -32,6 +32,8 @@
 const (
 	fleetKey     = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 	readyTimeout = 30 * time.Second
+	// stopTimeout is how long a VM may take to be suspended.
+	stopTimeout = 5 * time.Second
 	// minVMPort and maxVMPort bound the ports of VMs.
 	minVMPort = 12_000
 	maxVMPort = 32_000
@@ -221,8 +223,13 @@
 	}
 }
 
+// signalVM sends a signal to a VM. After SIGSTOP it returns once all threads of the VM have stopped.
 func (f *fleet) signalVM(proc *vmProcess, sig syscall.Signal) {
 	requireNoError(f.t, proc.cmd.Process.Signal(sig))
+	if sig != syscall.SIGSTOP {
+		return
+	}
+	f.eventually(stopTimeout, "VM "+proc.vm.ID+" is suspended", func() bool { return runningThreads(f.t, proc.cmd.Process.Pid) == 0 })
 }
 
 func (f *fleet) awaitReady(proc *vmProcess) {
