Watchers of tests have reader numbers of their own

Cause: with the default number, two watchers of a test took each other's reads for their own, so that the lower count was ignored; a fleet has one number for each VM. No check changed.

--- a/contract/watcher/spread_test.go
+++ b/contract/watcher/spread_test.go
@@ -48,8 +48,8 @@
 			p := &watchRecorder{fakePlatform: &fakePlatform{}}
 			p.publish(contractPublication(1))
 			var vms []*watcher.Watcher
-			for n := range readers {
-				vms = append(vms, runWatcher(t, &watcher.Watcher{Platform: p, PropagationLimit: changeLimit, Reader: uint16(10 + n)}))
+			for range readers {
+				vms = append(vms, runWatcher(t, &watcher.Watcher{Platform: p, PropagationLimit: changeLimit}))
 			}
 			start := time.Now()
 			for time.Since(start) < 30*interval {
--- a/contract/watcher/watcher_test.go
+++ b/contract/watcher/watcher_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,9 +117,13 @@
 	return runWatcher(t, &watcher.Watcher{Platform: p})
 }
 
-// runWatcher runs the watcher until the test ends.
+// watcherCount is the number of watchers that tests have run.
+var watcherCount atomic.Uint32
+
+// runWatcher runs the watcher until the test ends. Its reads are told from those of all other watchers.
 func runWatcher(t *testing.T, w *watcher.Watcher) *watcher.Watcher {
 	t.Helper()
+	w.Reader = fuchsiaspoke.ReaderID(fmt.Sprint("watcher ", watcherCount.Add(1)))
 	started := time.Now()
 	w.Clock, w.Log = func() time.Duration { return time.Since(started) }, func(string, ...any) {}
 	ctx, cancel := context.WithCancel(context.Background())
