A call to a VM ends with its context while others connect to that VM

What callers saw: calls between VMs that outlasted their timeouts. A call with a timeout of 100 ms to a VM that had died ended after 2.8 s, behind three others. Whatever waits for all VMs waits as long: the collection of unfinished reservations (0.5 s) before a token bucket opens, the pull of what is published (0.25 s), ranking by hubs. CloseVM, called when a VM became unreachable, waited for them, too.

Cause: link/dialer held the mutex of a VM's connection while it connected, up to 1 s (handshakeTimeout). A mutex knows no context, so that calls to a VM that doesn't answer went on in a row, each for its own second.

Change: the right to connect is a channel of one, for which a call waits no longer than its context; the mutex only guards the pointer.

Evidence: TestCallEndsWithItsContextWhileOthersConnect failed before (2.81 s for 100 ms) and passes, three of three runs with -race.

--- a/link/dialer/dialer.go
+++ b/link/dialer/dialer.go
@@ -54,9 +54,12 @@
 	Observe(wallNanos int64, logical uint32) bool
 }
 
+// peerConn is the connection to one VM.
 type peerConn struct {
-	mu   sync.Mutex
-	conn *quic.Conn
+	// connecting holds a value while a call connects, for which other calls wait no longer than their contexts.
+	connecting chan struct{}
+	mu         sync.Mutex
+	conn       *quic.Conn
 }
 
 // Call sends one request and passes the body of each response frame to receive, which may be nil.
@@ -104,7 +107,7 @@
 	return incarnation, err
 }
 
-// CloseVM closes the connection to a VM, if there is one; calls on it fail.
+// CloseVM closes the connection to a VM, if there is one; calls on it fail. It does not wait for a call that connects.
 func (d *Dialer) CloseVM(vm fuchsiaspoke.VM) {
 	d.peerConn(vm).close("VM unreachable")
 }
@@ -114,7 +117,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, peer := range d.conns {
+		peer.connecting <- struct{}{}
 		peer.close("closed")
+		<-peer.connecting
 	}
 	d.conns = nil
 }
@@ -176,7 +181,7 @@
 	key := vm.ID + "@" + vm.LinkAddress
 	peer := d.conns[key]
 	if peer == nil {
-		peer = &peerConn{}
+		peer = &peerConn{connecting: make(chan struct{}, 1)}
 		d.conns[key] = peer
 	}
 	return peer
@@ -184,19 +189,38 @@
 
 func (d *Dialer) conn(ctx context.Context, vm fuchsiaspoke.VM) (*quic.Conn, error) {
 	peer := d.peerConn(vm)
-	peer.mu.Lock()
-	defer peer.mu.Unlock()
-	if peer.conn != nil && peer.conn.Context().Err() == nil {
-		return peer.conn, nil
+	if conn := peer.open(); conn != nil {
+		return conn, nil
+	}
+	select {
+	case peer.connecting <- struct{}{}:
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+	defer func() { <-peer.connecting }()
+	if conn := peer.open(); conn != nil {
+		return conn, nil
 	}
 	conn, err := d.dial(ctx, vm)
 	if err != nil {
 		return nil, err
 	}
+	peer.mu.Lock()
+	defer peer.mu.Unlock()
 	peer.conn = conn
 	return conn, nil
 }
 
+// open returns the connection if it is open, or nil.
+func (p *peerConn) open() *quic.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == nil || p.conn.Context().Err() != nil {
+		return nil
+	}
+	return p.conn
+}
+
 func (d *Dialer) dial(ctx context.Context, vm fuchsiaspoke.VM) (*quic.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
--- a/link/dialer/dialer_test.go
+++ b/link/dialer/dialer_test.go
@@ -161,3 +161,46 @@
 		d.CloseVM(vm)
 	}
 }
+
+// silentVM returns a VM whose address receives datagrams and answers none.
+func silentVM(t *testing.T) fuchsiaspoke.VM {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return fuchsiaspoke.VM{ID: "vm_1", LinkAddress: conn.LocalAddr().String()}
+}
+
+// While other calls connect to a VM that does not answer, a call ends with its context, and CloseVM does not wait for them.
+func TestCallEndsWithItsContextWhileOthersConnect(t *testing.T) {
+	const callTimeout, margin = 100 * time.Millisecond, 200 * time.Millisecond
+	d := newDialer(t, strings.Repeat("ab", 32))
+	vm := silentVM(t)
+	others := make(chan error, 3)
+	for range cap(others) {
+		go func() { others <- d.Call(context.Background(), vm, "count", 1, nil) }()
+	}
+	time.Sleep(margin)
+	ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+	defer cancel()
+	started := time.Now()
+	err := d.Call(ctx, vm, "count", 1, nil)
+	if waited := time.Since(started); waited > callTimeout+margin {
+		t.Errorf("a call with a timeout of %v ended after %v", callTimeout, waited)
+	}
+	if !errors.Is(err, dialer.ErrNotSent) || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v, want ErrNotSent and the context's", err)
+	}
+	started = time.Now()
+	d.CloseVM(vm)
+	if waited := time.Since(started); waited > margin {
+		t.Errorf("CloseVM took %v", waited)
+	}
+	for range cap(others) {
+		if err := <-others; !errors.Is(err, dialer.ErrNotSent) {
+			t.Errorf("error %v of a call to a silent VM, want ErrNotSent", err)
+		}
+	}
+}
