--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -54,6 +54,8 @@
 	Clock func() time.Duration
 	// PropagationLimit is the time within which a published change must be in force on this VM.
 	PropagationLimit time.Duration
+	// Reader is the number by which other VMs know the reads of this one; 0 stands for 1.
+	Reader uint16
 	// IsReader reports whether this VM reads the platform for others. Any other VM calls the platform only while its own state is
 	// stale or older than a peer's. Nil means true.
 	IsReader func() bool
@@ -74,6 +76,9 @@
 	newestMissed atomic.Pointer[fuchsiaspoke.Revision]
 	// missingSince holds, by publication name, when a replica that is kept after an outage was first missing from a full list.
 	missingSince map[string]time.Duration
+	// lastRead is the number of this VM's last successful read, and readings what is known of other VMs' reads.
+	lastRead     uint32
+	readings     readings
 	withdrawals  withdrawals
 	drainNotices drainNotices
 	// failing is whether the last call to the platform failed; recoveredAt is when the last outage ended.
@@ -113,12 +118,12 @@
 			relist = true
 			continue
 		}
-		wait := w.readInterval() - (w.Clock() - started)
+		wait := retryDelay
 		if err != nil {
-			wait = retryDelay
 			failures++
 		} else {
 			failures, relist = 0, false
+			wait = w.readInterval() - (w.Clock() - started) + w.spreadDelay()
 		}
 		sleeper.Sleep(ctx, wait)
 	}
@@ -200,6 +205,16 @@
 	return max(time.Duration(readIntervalRatio*float64(w.PropagationLimit)), minReadInterval)
 }
 
+// spreadDelay returns how much later than after readInterval this VM should read again, so that readers read in turns.
+func (w *Watcher) spreadDelay() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.readings.spreadDelay(w.Clock(), w.reader(), w.readInterval())
+}
+
+// reader returns the number by which other VMs know the reads of this one.
+func (w *Watcher) reader() uint16 { return max(w.Reader, 1) }
+
 // readOnce makes one call to the platform. After a failure the call requests no wait, so that one that is lost in an outage times
 // out soon after the outage ends.
 func (w *Watcher) readOnce(ctx context.Context, relist bool, failures int) error {
