A response head that never ends is given up at 64 KiB

Callers saw requests wait until their deadlines, on VMs that grew by hundreds of megabytes, when a replica sent a status line, a header line or header lines without end. Cause: upstream/transport gave its connection to http.ReadResponse, which has no limit of its own. Change: the connection's reader takes at most 64 KiB for a head, and fails with a LimitError inside the SendError, which names step and peer. The connection is closed, and the request goes on as after any failed send. A parser's error at the limit ("malformed MIME header") is replaced by the limit, which is its cause.

--- a/upstream/transport/conn.go
+++ b/upstream/transport/conn.go
@@ -3,21 +3,46 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/bytelimiter"
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
 // conn is a connection to a replica. It carries one request at a time.
 type conn struct {
-	netConn   net.Conn
+	netConn net.Conn
+	// limiter bounds what reader reads from netConn.
+	limiter   *bytelimiter.Limiter
 	reader    *bufio.Reader
 	idleUntil time.Time
 	closeOnce sync.Once
 }
 
+func newConn(netConn net.Conn) *conn {
+	limiter := &bytelimiter.Limiter{Reader: netConn}
+	return &conn{netConn: netConn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+}
+
+// readHead reads the next response head, and skips informational (1xx) ones.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	defer c.limiter.Unlimit()
+	for {
+		c.limiter.Limit("response head", maxHeadBytes)
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, errors.Wrap(c.limiter.Cause(err), "read response head")
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
 func (c *conn) close() {
 	c.closeOnce.Do(func() { _ = c.netConn.Close() })
 }
--- a/upstream/transport/transport.go
+++ b/upstream/transport/transport.go
@@ -2,7 +2,6 @@
 package transport
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -30,6 +29,8 @@
 	maxForeignResponses = 2
 	// maxForeignBytes is the size, in bytes, from which the body of a response to another request makes the exchange fail.
 	maxForeignBytes = 1 << 20
+	// maxHeadBytes bounds what is received up to the end of a response head. Replicas send back little of a request's header.
+	maxHeadBytes    = 64 << 10
 	readBufferBytes = 4096
 )
 
@@ -96,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{netConn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes)}, nil
+	return newConn(netConn), nil
 }
 
 func (t *Transport) popIdle(address string) *conn {
@@ -149,7 +150,7 @@
 	}()
 	r.writeResult = written
 	for range maxForeignResponses + 1 {
-		response, err := r.readHead(m.Method) //nolint:bodyclose // the body is closed with the connection, which Response owns
+		response, err := r.conn.readHead(m.Method) //nolint:bodyclose // the body is closed with the connection, which Response owns
 		if err != nil {
 			return err
 		}
@@ -164,16 +165,3 @@
 	}
 	return errors.New("received too many responses to other requests on one connection")
 }
-
-// readHead reads the next response head, and skips informational (1xx) ones.
-func (r *Response) readHead(method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, errors.Wrap(err, "read response head")
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
--- /dev/null
+++ b/upstream/transport/transport_test.go
@@ -0,0 +1,124 @@
+package transport_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
+)
+
+const (
+	// testTimeout is the time left of a test's request, and quickly the time in which an endless response must have ended.
+	testTimeout = 4 * time.Second
+	quickly     = 2 * time.Second
+	// maxTaken is how much of an endless head may leave the replica: the limit, and what the kernel's buffers hold.
+	maxTaken = 16 << 20
+)
+
+// endlessReplica accepts connections and writes start and then repeats part on each, every interval, until the connection is closed.
+type endlessReplica struct {
+	start, part string
+	interval    time.Duration
+	// taken counts the bytes that the kernel has taken, and closed the connections that the other end has closed.
+	taken, closed atomic.Int64
+}
+
+func (r *endlessReplica) listen(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (r *endlessReplica) serve(c net.Conn) {
+	defer c.Close()
+	_, _ = c.Read(make([]byte, 4096))
+	part := []byte(r.part)
+	if r.interval == 0 {
+		part = bytes.Repeat(part, 1+4096/max(len(part), 1))
+	}
+	n, err := c.Write([]byte(r.start))
+	r.taken.Add(int64(n))
+	for err == nil {
+		n, err = c.Write(part)
+		r.taken.Add(int64(n))
+		time.Sleep(r.interval)
+	}
+	r.closed.Add(1)
+}
+
+// exchange sends a request to the replica and reads the whole response. It returns the time it took and the error.
+func (r *endlessReplica) exchange(t *testing.T) (time.Duration, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	var sender transport.Transport
+	defer sender.Close()
+	began := time.Now()
+	m := fuchsiaspoke.Message{Method: http.MethodGet, Target: "/", Host: "replica", Header: http.Header{}}
+	response, err := sender.Send(ctx, r.listen(t), m, func(h http.Header) bool { return h.Get("X-Attempt-Id") != "foreign" })
+	if err == nil {
+		_, err = io.Copy(io.Discard, response)
+		response.Close()
+	}
+	return time.Since(began), err
+}
+
+// expectClosed fails the test if the replica's connection is not closed.
+func (r *endlessReplica) expectClosed(t *testing.T) {
+	t.Helper()
+	for range 100 {
+		if r.closed.Load() == 1 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Error("the connection is still open")
+}
+
+// expectHeadLimit fails the test unless the head of the replica's response is given up at its limit.
+func (r *endlessReplica) expectHeadLimit(t *testing.T) {
+	t.Helper()
+	took, err := r.exchange(t)
+	var sendErr *fuchsiaspoke.SendError
+	var exceeded *fuchsiaspoke.LimitError
+	if !errors.As(err, &sendErr) || sendErr.NotSent || !errors.As(err, &exceeded) || took > quickly {
+		t.Errorf("after %v: error %v, want a send error at the head's limit", took, err)
+	}
+	if taken := r.taken.Load(); taken > maxTaken {
+		t.Errorf("%d bytes were taken, want at most %d", taken, maxTaken)
+	}
+	r.expectClosed(t)
+}
+
+func TestEndlessHeadIsGivenUpAtItsLimit(t *testing.T) {
+	for name, r := range map[string]*endlessReplica{
+		"status line without an end": {start: "HTTP/1.1 200 ", part: "OK"},
+		"no response at all":         {part: "\x00\xff garbage "},
+		"header line without an end": {start: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ", part: "a"},
+		"header lines without end":   {start: "HTTP/1.1 200 OK\r\n", part: "X-More: more\r\n"},
+		"continued header line":      {start: "HTTP/1.1 200 OK\r\nX-More: a\r\n", part: " more\r\n"},
+	} {
+		t.Run(name, r.expectHeadLimit)
+	}
+}
