Informational responses count towards the limit of the response head

Callers saw requests wait until their deadlines, while a VM's processor read 1xx heads as fast as a replica sent them. Cause: readHead of upstream/transport loops over informational responses, and the limit began anew with each.

--- a/upstream/transport/conn.go
+++ b/upstream/transport/conn.go
@@ -28,11 +28,11 @@
 	return &conn{netConn: netConn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
-// readHead reads the next response head, and skips informational (1xx) ones.
+// readHead reads the next response head, and skips informational (1xx) ones, which count towards its limit.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	defer c.limiter.Unlimit()
+	c.limiter.Limit("response head", maxHeadBytes)
 	for {
-		c.limiter.Limit("response head", maxHeadBytes)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Wrap(c.limiter.Cause(err), "read response head")
--- a/upstream/transport/transport_test.go
+++ b/upstream/transport/transport_test.go
@@ -122,3 +122,12 @@
 		t.Run(name, r.expectHeadLimit)
 	}
 }
+
+func TestEndlessInformationalResponsesAreGivenUpAtTheHeadsLimit(t *testing.T) {
+	for name, r := range map[string]*endlessReplica{
+		"continue":    {part: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"early hints": {part: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+	} {
+		t.Run(name, r.expectHeadLimit)
+	}
+}
