A response to another request is discarded within one second

Callers saw a request wait until its deadline where a replica sent, at the point of its response, the head of another one whose body trickled in. Cause: upstream/transport bounded such a body by bytes (1 MiB), but in time only by the request's context. Change: a discarded body must end within 1 MiB and 1 s, else the exchange fails, its connection is closed, and the request goes on as after any failed send. Failed before: TestEndlessForeignResponsesAreGivenUp, the three trickled forms, each at the deadline of 4 s. Held before: the other forms, and TestEndlessFramingOfBodyIsGivenUp: chunk extensions, chunk sizes and trailers without end are bounded by net/http.

--- a/upstream/transport/conn.go
+++ b/upstream/transport/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -43,6 +44,19 @@
 	}
 }
 
+// discard reads a body to its end, which comes within maxDiscardBytes and discardTimeout.
+func (c *conn) discard(body io.Reader) error {
+	if err := c.netConn.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return err
+	}
+	limiter := bytelimiter.Limiter{Reader: body}
+	limiter.Limit("discarded body", maxDiscardBytes)
+	if _, err := io.Copy(io.Discard, &limiter); err != nil {
+		return err
+	}
+	return c.netConn.SetReadDeadline(time.Time{})
+}
+
 func (c *conn) close() {
 	c.closeOnce.Do(func() { _ = c.netConn.Close() })
 }
--- a/upstream/transport/transport.go
+++ b/upstream/transport/transport.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,8 +26,9 @@
 	idleLifetimeMargin = 700 * time.Millisecond
 	// maxForeignResponses bounds the number of responses to other requests that one exchange discards.
 	maxForeignResponses = 2
-	// maxForeignBytes is the size, in bytes, from which the body of a response to another request makes the exchange fail.
-	maxForeignBytes = 1 << 20
+	// maxDiscardBytes and discardTimeout bound the body of a response that is read only so that the next one can be.
+	maxDiscardBytes = 1 << 20
+	discardTimeout  = time.Second
 	// maxHeadBytes bounds what is received up to the end of a response head. Replicas send back little of a request's header.
 	maxHeadBytes    = 64 << 10
 	readBufferBytes = 4096
@@ -158,8 +158,8 @@
 			r.Status, r.Header, r.response = response.StatusCode, response.Header, response
 			return nil
 		}
-		if _, err := io.CopyN(io.Discard, response.Body, maxForeignBytes); err != io.EOF {
-			return errors.New("could not discard the response to another request: its body is 1 MiB or longer, or truncated")
+		if err := r.conn.discard(response.Body); err != nil {
+			return errors.Wrap(err, "discard the response to another request")
 		}
 		r.foreignResponseRead = true
 	}
--- a/upstream/transport/transport_test.go
+++ b/upstream/transport/transport_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -131,3 +132,45 @@
 		t.Run(name, r.expectHeadLimit)
 	}
 }
+
+// Responses to another request are discarded within a limit of bytes and of time.
+func TestEndlessForeignResponsesAreGivenUp(t *testing.T) {
+	const foreign = "HTTP/1.1 200 OK\r\nX-Attempt-Id: foreign\r\n"
+	for name, r := range map[string]*endlessReplica{
+		"chunks without end":     {start: foreign + "Transfer-Encoding: chunked\r\n\r\n", part: "4\r\nmore\r\n"},
+		"body without end":       {start: foreign + "\r\n", part: "more"},
+		"trickled chunks":        {start: foreign + "Transfer-Encoding: chunked\r\n\r\n", part: "4\r\nmore\r\n", interval: 100 * time.Millisecond},
+		"trickled body":          {start: foreign + "Content-Length: 100000\r\n\r\n", part: "m", interval: 100 * time.Millisecond},
+		"one after the other":    {part: foreign + "Content-Length: 4\r\n\r\nmore"},
+		"bodies on other bodies": {start: foreign + "Content-Length: 4\r\n\r\nmore" + foreign + "\r\n", part: "m", interval: 100 * time.Millisecond},
+	} {
+		t.Run(name, r.expectGivenUp)
+	}
+}
+
+// What a response may have besides the content of its body.
+func TestEndlessFramingOfBodyIsGivenUp(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, r := range map[string]*endlessReplica{
+		"chunk extension":  {start: chunked + "4;", part: "a=b;"},
+		"chunk extensions": {start: chunked, part: "1;" + strings.Repeat("a", 1000) + "\r\nx\r\n"},
+		"chunk size":       {start: chunked, part: "0"},
+		"trailer":          {start: chunked + "0\r\nX-More: ", part: "more"},
+		"trailers":         {start: chunked + "0\r\n", part: "X-More: more\r\n"},
+	} {
+		t.Run(name, r.expectGivenUp)
+	}
+}
+
+// expectGivenUp fails the test unless the exchange fails soon, with few bytes taken, and closes the connection.
+func (r *endlessReplica) expectGivenUp(t *testing.T) {
+	t.Helper()
+	took, err := r.exchange(t)
+	if err == nil || errors.Is(err, context.DeadlineExceeded) || took > quickly {
+		t.Errorf("after %v: error %v, want the exchange to be given up soon", took, err)
+	}
+	if taken := r.taken.Load(); taken > maxTaken {
+		t.Errorf("%d bytes were taken, want at most %d", taken, maxTaken)
+	}
+	r.expectClosed(t)
+}
