A stream's bytes count as progress only where they continue it

Callers lost streams that another engine would have taken: an engine that trickled the bytes of one event, comments or garbage was never taken for stalled, and the stream was cut at the request's deadline. Cause: vm/sender reset the stall watch with each read that gave bytes. Class: a watch for silence that any byte satisfies. Change: in an event stream only events with an id, or with data where no id was seen, are progress. The time to the first event is now that of the first event, and not that of the first byte. Bodies of other types are watched as before.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -262,7 +262,7 @@
 	if failure := t.open(a, relay.lastEvent()); failure != nil {
 		result = *failure
 	} else {
-		result = t.relayStream(a, relay, watch.onData)
+		result = t.relayStream(a, relay, watch.onProgress)
 	}
 	next = watch.end(t, result.done)
 	if next != nil && next.lastEvent != relay.lastEvent() {
@@ -340,12 +340,12 @@
 	}
 }
 
-// relayStream relays events to the caller until the stream ends or fails. It calls onData when data arrives.
-func (t *requestTask) relayStream(a *attempt, relay *streamRelay, onData func()) outcome {
+// relayStream relays events to the caller until the stream ends or fails. It calls onProgress when the stream goes on.
+func (t *requestTask) relayStream(a *attempt, relay *streamRelay, onProgress func()) outcome {
 	first := true
 	firstEventTime := time.Duration(0)
 	err := relay.relayEvents(a.response, func() {
-		onData()
+		onProgress()
 		if !first {
 			return
 		}
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -49,15 +49,19 @@
 	return id
 }
 
-// relayEvents relays the events of one attempt, and calls onData after each read that returns data.
-func (r *streamRelay) relayEvents(response *transport.Response, onData func()) error {
+// relayEvents relays the events of one attempt, and calls onProgress after each read that does. In an event stream only events with data
+// are progress: bytes that complete none may go on without end.
+func (r *streamRelay) relayEvents(response *transport.Response, onProgress func()) error {
 	r.splitter = eventsplitter.Splitter{}
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Read(buffer)
 		if n > 0 {
-			onData()
-			if sendErr := r.sendEvents(response, r.splitter.Add(buffer[:n])); sendErr != nil {
+			events := r.splitter.Add(buffer[:n])
+			if !mayBeEventStream(response.Header) || r.isProgress(events) {
+				onProgress()
+			}
+			if sendErr := r.sendEvents(response, events); sendErr != nil {
 				return sendErr
 			}
 		}
@@ -97,6 +101,11 @@
 	return nil
 }
 
+// isProgress reports whether events continue the stream: with an id, or with data where no event of the stream has had an id.
+func (r *streamRelay) isProgress(events []byte) bool {
+	return lastID(events) != "" || r.lastEvent() == "" && hasData(events)
+}
+
 // recordPause updates the longest pause between two writes of events.
 func (r *streamRelay) recordPause(now time.Time) {
 	if !r.lastSent.IsZero() {
@@ -105,11 +114,10 @@
 	r.lastSent = now
 }
 
-// finishStream completes an attempt whose body has ended. A body that is no event stream is sent to its last byte; one without a
-// Content-Type is taken for an event stream.
+// finishStream completes an attempt whose body has ended. A body that is no event stream is sent to its last byte.
 func (r *streamRelay) finishStream(response *transport.Response) error {
 	rest := r.splitter.Rest()
-	if len(rest) > 0 && (isEventStream(response.Header) || response.Header.Get("Content-Type") == "") {
+	if len(rest) > 0 && mayBeEventStream(response.Header) {
 		return errEndedInsideEvent
 	}
 	r.sendHead(response)
@@ -128,6 +136,11 @@
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
+// mayBeEventStream reports whether a response of an engine is taken for a stream of events: also one without a Content-Type is.
+func mayBeEventStream(h http.Header) bool {
+	return isEventStream(h) || h.Get("Content-Type") == ""
+}
+
 // bodyEnd returns how a body ended whose reading gave err.
 func bodyEnd(err error) fuchsiaspoke.BodyEnd {
 	switch {
@@ -150,4 +163,14 @@
 	return id
 }
 
+// hasData reports whether an event has data.
+func hasData(events []byte) bool {
+	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
+		if bytes.HasPrefix(line, []byte("data:")) {
+			return true
+		}
+	}
+	return false
+}
+
 func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -71,14 +71,14 @@
 	sendCount int
 	find      finder
 	stalled   *attempt
-	// progress receives that data arrived, and ended whether the attempt is complete.
+	// progress receives that the attempt went on, and ended whether the attempt is complete.
 	progress chan struct{}
 	ended    chan bool
 	// next receives the attempt that takes over, or nil.
 	next chan *attempt
 }
 
-// watchStall starts the watch of an attempt, which is stalled once it has received nothing for the time first. It ends with the call of
+// watchStall starts the watch of an attempt, which is stalled once it has made no progress for the time first. It ends with the call of
 // end; ctx is that of the request.
 func (t *requestTask) watchStall(ctx context.Context, a *attempt, first time.Duration, find finder) *stallWatch {
 	if !t.retryable() || t.sendCount+1 >= t.request.Route.MaxAttempts {
@@ -145,8 +145,8 @@
 	return next, false
 }
 
-// onData tells the watch that data has arrived.
-func (w *stallWatch) onData() {
+// onProgress tells the watch that the attempt goes on.
+func (w *stallWatch) onProgress() {
 	select {
 	case w.progress <- struct{}{}:
 	default:
