A stream whose event ids do not rise is given up

Callers got the same event, or events that go back, without end: 22 MB in 4 s for a request of 50 tokens, until the deadline cut the stream. Cause: vm/sender relayed whatever had the form of an event, and each such event counted as progress. Change: the ids of one response must rise (numbers), or at least differ from the last one (other ids). Events up to the first that doesn't are sent; the attempt then fails with a typed cause, its connection is closed, and the stream goes on at another engine or is cut. Ids are compared within one response, as an engine that does not resume may begin anew. Failed before: TestEventsWhoseIDsDoNotRiseAreNotRelayed, all three forms on both routes, cut at the deadline after 4 s. After: the resumable one is whole and the other one cut after its three events, both within 2 s.

--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -31,6 +31,7 @@
 	// lastEventID holds the ID of the last event that was sent to the caller; a search for another engine reads it meanwhile.
 	lastEventID atomic.Value
 	splitter    eventsplitter.Splitter
+	order       eventOrder
 	// lastSent is the time of the last write of events to the caller, and longestPause the longest time between two writes.
 	lastSent     time.Time
 	longestPause time.Duration
@@ -52,7 +53,7 @@
 // relayEvents relays the events of one attempt, and calls onProgress after each read that does. In an event stream only events with data
 // are progress: bytes that complete none may go on without end.
 func (r *streamRelay) relayEvents(response *transport.Response, onProgress func()) error {
-	r.splitter = eventsplitter.Splitter{}
+	r.splitter, r.order = eventsplitter.Splitter{}, eventOrder{}
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Read(buffer)
@@ -61,7 +62,7 @@
 			if !mayBeEventStream(response.Header) || r.isProgress(events) {
 				onProgress()
 			}
-			if sendErr := r.sendEvents(response, events); sendErr != nil {
+			if sendErr := r.sendInOrder(response, events); sendErr != nil {
 				return sendErr
 			}
 		}
@@ -85,6 +86,18 @@
 	r.out.Head(http.StatusOK, response.Header, -1)
 }
 
+// sendInOrder sends complete events, up to the first one that is out of order.
+func (r *streamRelay) sendInOrder(response *transport.Response, events []byte) error {
+	if !mayBeEventStream(response.Header) {
+		return r.sendEvents(response, events)
+	}
+	inOrder, orderErr := r.order.accept(events)
+	if err := r.sendEvents(response, inOrder); err != nil {
+		return err
+	}
+	return orderErr
+}
+
 // sendEvents sends complete events, if there are any.
 func (r *streamRelay) sendEvents(response *transport.Response, events []byte) error {
 	if len(events) == 0 {
@@ -152,17 +165,6 @@
 	return fuchsiaspoke.BodyComplete
 }
 
-// lastID returns the ID of the last event that has one.
-func lastID(events []byte) string {
-	id := ""
-	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id = string(bytes.TrimSpace(value))
-		}
-	}
-	return id
-}
-
 // hasData reports whether an event has data.
 func hasData(events []byte) bool {
 	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
