A stream is limited by the tokens that its request may generate

Callers and VMs took whatever an engine sent between events at the speed of the network, up to the request's deadline: 6 MB to 17 MB in 4 s of comments or bytes that are no event. Cause: vm/sender limited an incomplete event, but not a stream. The deadline would not do as the limit, since it bounds time alone and may be an hour away. Beyond it the attempt fails with a LimitError and the stream goes on at another engine or is cut. Failed before: TestEndlessBytesBetweenEventsAreGivenUp, both forms on both routes: resumed after the stall of 1.5 s with 6.0 MB and 6.7 MB relayed, or cut at the deadline. After: within 1 s and 2 MiB.

--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/bytelimiter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/eventsplitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
 	"github.com/pkg/errors"
@@ -18,6 +19,10 @@
 	readBufferBytes = 4096
 	// maxEventBytes limits an incomplete event.
 	maxEventBytes = 1 << 20
+	// maxTokenBytes limits a stream for each token that its request may generate: several times what an event of one token takes.
+	maxTokenBytes = 4 << 10
+	// maxStreamTokens is the number of tokens from which the limit of a stream rises no more.
+	maxStreamTokens = 1 << 16
 )
 
 // errEndedInsideEvent is the error of a stream whose last event is incomplete. Its replica broke off, however the response is framed:
@@ -32,18 +37,29 @@
 	lastEventID atomic.Value
 	splitter    eventsplitter.Splitter
 	order       eventOrder
+	// maxBytes limits the stream of each attempt.
+	maxBytes int64
 	// lastSent is the time of the last write of events to the caller, and longestPause the longest time between two writes.
 	lastSent     time.Time
 	longestPause time.Duration
 }
 
-// newStreamRelay returns the relay of a stream whose caller has received the events up to lastEvent.
-func newStreamRelay(out responseWriter, lastEvent string) *streamRelay {
-	r := &streamRelay{out: out}
+// newStreamRelay returns the relay of a stream of up to maxBytes, whose caller has received the events up to lastEvent.
+func newStreamRelay(out responseWriter, lastEvent string, maxBytes int64) *streamRelay {
+	r := &streamRelay{out: out, maxBytes: maxBytes}
 	r.lastEventID.Store(lastEvent)
 	return r
 }
 
+// maxStreamBytes returns the limit of the stream of a request: an event of the largest size, and what its tokens take. Without a number of
+// tokens it is that of other responses.
+func maxStreamBytes(d fuchsiaspoke.Demand) int64 {
+	if d.OutputTokens <= 0 {
+		return maxResponseBytes
+	}
+	return maxEventBytes + maxTokenBytes*min(d.OutputTokens, maxStreamTokens)
+}
+
 // lastEvent returns the ID of the last event that was sent to the caller.
 func (r *streamRelay) lastEvent() string {
 	id, _ := r.lastEventID.Load().(string)
@@ -54,9 +70,11 @@
 // are progress: bytes that complete none may go on without end.
 func (r *streamRelay) relayEvents(response *transport.Response, onProgress func()) error {
 	r.splitter, r.order = eventsplitter.Splitter{}, eventOrder{}
+	body := bytelimiter.Limiter{Reader: response}
+	body.Limit("response stream", r.maxBytes)
 	buffer := make([]byte, readBufferBytes)
 	for {
-		n, err := response.Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
 			events := r.splitter.Add(buffer[:n])
 			if !mayBeEventStream(response.Header) || r.isProgress(events) {
@@ -73,7 +91,7 @@
 			return errors.Wrap(err, "read stream")
 		}
 		if len(r.splitter.Rest()) > maxEventBytes {
-			return errors.New("stream event exceeds the size limit")
+			return &fuchsiaspoke.LimitError{Part: "stream event", Bytes: maxEventBytes}
 		}
 	}
 }
