A stream has no more events than its request's tokens allow

Callers got events with rising ids without end: 25 MB for a request of 50 tokens, until the deadline cut the stream. Cause: the ids were in order, and only bytes were limited. An event has one token or more. Change: a request receives at most two events with an id for each token that it may generate, and 16 more, over all its attempts. The stream is then cut and never resumed, since an engine that went on after such an id would have nothing to add, and the stream would end as a whole one. Without a number of tokens the limit of bytes is the only one.

--- a/vm/sender/event_order_test.go
+++ b/vm/sender/event_order_test.go
@@ -2,6 +2,17 @@
 
 import "testing"
 
+func TestEventsBeyondTheirTokensAreNotAccepted(t *testing.T) {
+	o := eventOrder{max: 3}
+	if got, err := o.accept([]byte("id: 1\n\n: comment\n\nid: 2\n\n")); err != nil || len(got) == 0 {
+		t.Errorf("two of three events: accepted %q, error %v", got, err)
+	}
+	o.restart()
+	if got, err := o.accept([]byte("id: 1\n\nid: 2\n\n")); err != errTooManyEvents || string(got) != "id: 1\n\n" {
+		t.Errorf("two more: accepted %q, error %v", got, err)
+	}
+}
+
 func TestEventsUpToTheFirstOutOfOrderAreAccepted(t *testing.T) {
 	for _, c := range []struct{ events, inOrder string }{
 		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -34,7 +34,7 @@
 // serveGeneration serves a request for a model: it obtains an admission to an engine and relays the stream, and repeats both at
 // another engine where a failed attempt may be retried.
 func (t *requestTask) serveGeneration(ctx context.Context) error {
-	relay := newStreamRelay(t.out, t.request.LastEvent, maxStreamBytes(t.request.Demand))
+	relay := newStreamRelay(t.out, t.request.LastEvent, t.request.Demand)
 	var a *attempt
 	for range maxAdmissionsPerRequest {
 		if a == nil {
@@ -54,6 +54,10 @@
 			t.discard(next)
 			return outcome.err
 		}
+		if outcome.final {
+			t.discard(next)
+			return t.resultAfterLastAttempt(ctx, relay, outcome)
+		}
 		if next == nil && !outcome.notSent && !t.takeRetry(outcome.notRun) {
 			return t.resultAfterLastAttempt(ctx, relay, outcome)
 		}
@@ -246,9 +250,11 @@
 	// notRun means that the engine responded that it did not run the request, notSent that it certainly received nothing.
 	notRun  bool
 	notSent bool
-	status  int
-	reply   *reply
-	err     error
+	// final means that no other engine can go on with the stream.
+	final  bool
+	status int
+	reply  *reply
+	err    error
 }
 
 // runAttempt sends the request to one engine, unless that was done, and relays the events of its stream to the caller. If the engine sends
@@ -373,5 +379,5 @@
 	}
 	t.recordBodyEnd(a.replica, a.response.Framing(), bodyEnd(err))
 	t.recordSendFailure(a.ctx, a.replica, a.started, &fuchsiaspoke.SendError{Peer: a.replica.Address, Step: "read stream", Cause: err})
-	return outcome{err: err}
+	return outcome{err: err, final: errors.Is(err, errTooManyEvents)}
 }
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -22,7 +22,7 @@
 	// maxTokenBytes limits a stream for each token that its request may generate: several times what an event of one token takes.
 	maxTokenBytes = 4 << 10
 	// maxStreamTokens is the number of tokens from which the limit of a stream rises no more.
-	maxStreamTokens = 1 << 16
+	maxStreamTokens = 1 << 18
 )
 
 // errEndedInsideEvent is the error of a stream whose last event is incomplete. Its replica broke off, however the response is framed:
@@ -44,9 +44,9 @@
 	longestPause time.Duration
 }
 
-// newStreamRelay returns the relay of a stream of up to maxBytes, whose caller has received the events up to lastEvent.
-func newStreamRelay(out responseWriter, lastEvent string, maxBytes int64) *streamRelay {
-	r := &streamRelay{out: out, maxBytes: maxBytes}
+// newStreamRelay returns the relay of the stream that a demand allows, whose caller has received the events up to lastEvent.
+func newStreamRelay(out responseWriter, lastEvent string, d fuchsiaspoke.Demand) *streamRelay {
+	r := &streamRelay{out: out, maxBytes: maxStreamBytes(d), order: eventOrder{max: maxEvents(d)}}
 	r.lastEventID.Store(lastEvent)
 	return r
 }
@@ -69,7 +69,8 @@
 // relayEvents relays the events of one attempt, and calls onProgress after each read that does. In an event stream only events with data
 // are progress: bytes that complete none may go on without end.
 func (r *streamRelay) relayEvents(response *transport.Response, onProgress func()) error {
-	r.splitter, r.order = eventsplitter.Splitter{}, eventOrder{}
+	r.splitter = eventsplitter.Splitter{}
+	r.order.restart()
 	body := bytelimiter.Limiter{Reader: response}
 	body.Limit("response stream", r.maxBytes)
 	buffer := make([]byte, readBufferBytes)
