An engine's stream must go on with its generation (own API)

A generation of the project's own API went on until its deadline where an engine sent comments, empty lines, chunks already received or chunks of no tokens: up to 732 MB in 12 s. Cause: upstream/driver took any line for progress, and did not limit a stream. Change: only the next chunk is progress, and a connection's stream is limited by the tokens that the generation may have (the limit of vm/sender, which moves to bytelimiter.StreamBytes). The stream is then resumed or refused, as after any broken connection.

--- a/upstream/bytelimiter/bytelimiter.go
+++ b/upstream/bytelimiter/bytelimiter.go
@@ -7,6 +7,15 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 )
 
+const (
+	// spareStreamBytes is the limit of a stream of no tokens: one event of the largest size.
+	spareStreamBytes = 1 << 20
+	// maxTokenBytes is by how much a token raises the limit: several times what an event of one token takes.
+	maxTokenBytes = 4 << 10
+	// maxStreamTokens is the number of tokens from which the limit rises no more.
+	maxStreamTokens = 1 << 18
+)
+
 // Limiter reads from a peer up to a limit, and fails with a *fuchsiaspoke.LimitError beyond it. Its zero limit is none.
 type Limiter struct {
 	Reader io.Reader
@@ -58,3 +67,8 @@
 	l.Limit(part, limit)
 	return io.ReadAll(&l)
 }
+
+// StreamBytes returns the limit of a stream that generates up to a number of tokens.
+func StreamBytes(tokens int64) int64 {
+	return spareStreamBytes + maxTokenBytes*min(max(tokens, 0), maxStreamTokens)
+}
--- a/upstream/driver/driver.go
+++ b/upstream/driver/driver.go
@@ -38,7 +38,7 @@
 	// Client sends the requests; if nil, the driver creates its own.
 	Client   *http.Client
 	Upstream fuchsiaspoke.Upstream
-	// ProgressTimeout bounds the time without a new line on a stream, and each attempt of a load or unload; zero means
+	// ProgressTimeout bounds the time without a further chunk on a stream, and each attempt of a load or unload; zero means
 	// 3 s.
 	ProgressTimeout time.Duration
 	// ProbeTimeout bounds reports, claims and cancels; zero means 1 s.
--- a/upstream/driver/stream.go
+++ b/upstream/driver/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/sleeper"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/bytelimiter"
 	"github.com/pkg/errors"
 )
 
@@ -29,7 +30,7 @@
 )
 
 var (
-	errNoProgress    = errors.New("no data on the stream within the progress timeout")
+	errNoProgress    = errors.New("no further chunk on the stream within the progress timeout")
 	errTruncated     = errors.New("stream ended without a finishing chunk")
 	errWrongRequest  = errors.New("chunk belongs to another request")
 	errIndexGap      = errors.New("chunk index skips chunks that were not received")
@@ -165,18 +166,23 @@
 		return s.readRefusal(resp)
 	}
 	s.mayHaveRun = true
-	scanner := bufio.NewScanner(resp.Body)
+	limiter := &bytelimiter.Limiter{Reader: resp.Body}
+	limiter.Limit("response stream", bytelimiter.StreamBytes(s.generation.MaxOutputTokens))
+	scanner := bufio.NewScanner(limiter)
 	scanner.Buffer(nil, maxEventBytes)
 	for scanner.Scan() {
-		watchdog.Reset(timeout)
 		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
 		if !ok {
 			continue
 		}
+		nextIndex := s.nextIndex
 		finished, err := s.handleEvent(data)
 		if err != nil {
 			return err
 		}
+		if s.nextIndex > nextIndex {
+			watchdog.Reset(timeout)
+		}
 		if finished {
 			watchdog.Reset(drainTimeout)
 			for scanner.Scan() {
--- a/vm/sender/event_order.go
+++ b/vm/sender/event_order.go
@@ -20,6 +20,8 @@
 	// maxEventsPerToken and spareEvents limit the events of a request: one event has one token or more, and a few may have none.
 	maxEventsPerToken = 2
 	spareEvents       = 16
+	// maxTokens is the number of tokens from which the limit rises no more.
+	maxTokens = 1 << 18
 )
 
 // maxEvents returns how many events with an id a request may receive; 0 means any number, where its number of tokens is unknown.
@@ -27,7 +29,7 @@
 	if d.OutputTokens <= 0 {
 		return 0
 	}
-	return spareEvents + maxEventsPerToken*min(d.OutputTokens, maxStreamTokens)
+	return spareEvents + maxEventsPerToken*min(d.OutputTokens, maxTokens)
 }
 
 // eventOrder checks that the ids of one response's events rise, and that there are not more than max (0: any number).
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -19,10 +19,6 @@
 	readBufferBytes = 4096
 	// maxEventBytes limits an incomplete event.
 	maxEventBytes = 1 << 20
-	// maxTokenBytes limits a stream for each token that its request may generate: several times what an event of one token takes.
-	maxTokenBytes = 4 << 10
-	// maxStreamTokens is the number of tokens from which the limit of a stream rises no more.
-	maxStreamTokens = 1 << 18
 )
 
 // errEndedInsideEvent is the error of a stream whose last event is incomplete. Its replica broke off, however the response is framed:
@@ -51,13 +47,12 @@
 	return r
 }
 
-// maxStreamBytes returns the limit of the stream of a request: an event of the largest size, and what its tokens take. Without a number of
-// tokens it is that of other responses.
+// maxStreamBytes returns the limit of the stream of a request. Without a number of tokens it is that of other responses.
 func maxStreamBytes(d fuchsiaspoke.Demand) int64 {
 	if d.OutputTokens <= 0 {
 		return maxResponseBytes
 	}
-	return maxEventBytes + maxTokenBytes*min(d.OutputTokens, maxStreamTokens)
+	return bytelimiter.StreamBytes(d.OutputTokens)
 }
 
 // lastEvent returns the ID of the last event that was sent to the caller.
