--- a/upstream/transport/conn.go
+++ b/upstream/transport/conn.go
@@ -2,22 +2,61 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/bytelimiter"
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
 // conn is a connection to a replica. It carries one request at a time.
 type conn struct {
-	netConn   net.Conn
+	netConn net.Conn
+	// limiter bounds what reader reads from netConn.
+	limiter   *bytelimiter.Limiter
 	reader    *bufio.Reader
 	idleUntil time.Time
 	closeOnce sync.Once
 }
 
+func newConn(netConn net.Conn) *conn {
+	limiter := &bytelimiter.Limiter{Reader: netConn}
+	return &conn{netConn: netConn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+}
+
+// readHead reads the next response head, and skips informational (1xx) ones, which count towards its limit.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	defer c.limiter.Unlimit()
+	c.limiter.Limit("response head", maxHeadBytes)
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, errors.Wrap(c.limiter.Cause(err), "read response head")
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
+// discard reads a body to its end, which comes within maxDiscardBytes and discardTimeout.
+func (c *conn) discard(body io.Reader) error {
+	if err := c.netConn.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return err
+	}
+	limiter := bytelimiter.Limiter{Reader: body}
+	limiter.Limit("discarded body", maxDiscardBytes)
+	if _, err := io.Copy(io.Discard, &limiter); err != nil {
+		return err
+	}
+	return c.netConn.SetReadDeadline(time.Time{})
+}
+
 func (c *conn) close() {
 	c.closeOnce.Do(func() { _ = c.netConn.Close() })
 }
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -37,7 +36,7 @@
 // serveGeneration serves a request for a model: it obtains an admission to an engine and relays the stream, and repeats both at
 // another engine where a failed attempt may be retried.
 func (t *requestTask) serveGeneration(ctx context.Context) error {
-	relay := newStreamRelay(t.out, t.resumed, t.recordOrigin)
+	relay := newStreamRelay(t.out, t.resumed, t.request.Demand, t.recordOrigin)
 	var a *attempt
 	for admissions := 0; ; {
 		if a == nil {
@@ -61,6 +60,10 @@
 			t.discard(next)
 			return outcome.err
 		}
+		if outcome.final {
+			t.discard(next)
+			return t.resultAfterLastAttempt(ctx, relay, outcome)
+		}
 		if next == nil && !outcome.notSent && !(relay.mayGoOn(t.request.Route) && t.takeRetry(outcome.notRun)) {
 			return t.resultAfterLastAttempt(ctx, relay, outcome)
 		}
@@ -289,9 +292,11 @@
 	// notRun means that the engine responded that it did not run the request, notSent that it certainly received nothing.
 	notRun  bool
 	notSent bool
-	status  int
-	reply   *reply
-	err     error
+	// final means that no other engine can go on with the stream.
+	final  bool
+	status int
+	reply  *reply
+	err    error
 }
 
 // mayHaveRun reports whether the engine may have run an attempt that it did not answer.
@@ -352,7 +357,7 @@
 // handleRefusal handles a response that says that the engine did not run the request. A misdirected request does not count
 // towards the route's maximum number of attempts.
 func (t *requestTask) handleRefusal(admission *requester.Admission, r fuchsiaspoke.Replica, info fuchsiaspoke.ResponseInfo, response *transport.Response) *outcome {
-	t.discardBody(response)
+	t.discardBody(r, response)
 	t.Tracker.RecordAnswer(t.Clock(), r.ID, 0, !info.Misdirected)
 	if info.Misdirected || response.Status == http.StatusServiceUnavailable {
 		admission.Progress(true)
@@ -379,10 +384,10 @@
 	return &outcome{reply: &reply{status: response.Status, header: response.Header, body: body, failed: true}, status: response.Status}
 }
 
-// discardBody reads and discards up to maxResponseBytes of the body, and logs a failed read. It leaves the response open.
-func (t *requestTask) discardBody(response *transport.Response) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(response, maxResponseBytes)); err != nil {
-		t.Log("reading the body of a refusal failed", "request", t.request.ID, "error", err.Error())
+// discardBody discards the body of a refusal, and logs a failed read. It leaves the response open.
+func (t *requestTask) discardBody(r fuchsiaspoke.Replica, response *transport.Response) {
+	if err := response.Discard(); err != nil {
+		t.Log("reading the body of a refusal failed", "request", t.request.ID, "replica", r.ID, "address", r.Address, "error", err.Error())
 	}
 }
 
@@ -390,10 +395,13 @@
 func (t *requestTask) relayStream(a *attempt, relay *streamRelay, watch *stallWatch) outcome {
 	first := true
 	firstEventTime := time.Duration(0)
-	err := relay.relayEvents(a.response, a.body, a.replica.SoftwareVersion, func() bool {
-		if !watch.receive() {
+	err := relay.relayEvents(a.response, a.body, a.replica.SoftwareVersion, func(progress bool) bool {
+		if !watch.receive(progress) {
 			return false
 		}
+		if !progress {
+			return true
+		}
 		if !first {
 			return true
 		}
@@ -422,5 +430,5 @@
 	}
 	t.recordBodyEnd(a.replica, a.response.Framing(), bodyEnd(err))
 	t.recordSendFailure(a.ctx, a.replica, a.started, &fuchsiaspoke.SendError{Peer: a.replica.Address, Step: "read stream", Cause: err})
-	return outcome{err: err}
+	return outcome{err: err, final: errors.Is(err, errTooManyEvents)}
 }
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/bytelimiter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/eventsplitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
 	"github.com/pkg/errors"
@@ -36,6 +37,9 @@
 	// onBegin is called with the software version before the first event is sent.
 	onBegin  func(softwareVersion string)
 	splitter eventsplitter.Splitter
+	order    eventOrder
+	// maxBytes limits the stream of each attempt.
+	maxBytes int64
 	// lastSent is the time of the last write of events to the caller, and longestPause the longest time between two writes.
 	lastSent     time.Time
 	longestPause time.Duration
@@ -52,13 +56,24 @@
 	return p == nil || p.softwareVersion == r.SoftwareVersion
 }
 
-// newStreamRelay returns the relay of a stream that the caller resumes at a position, or that begins where it is nil.
-func newStreamRelay(out responseWriter, resumed *streamPosition, onBegin func(string)) *streamRelay {
-	r := &streamRelay{out: out, onBegin: onBegin}
+// newStreamRelay returns the relay of the stream that a demand allows, which the caller resumes at a position, or which begins where that
+// is nil.
+func newStreamRelay(
+	out responseWriter, resumed *streamPosition, d fuchsiaspoke.Demand, onBegin func(softwareVersion string),
+) *streamRelay {
+	r := &streamRelay{out: out, onBegin: onBegin, maxBytes: maxStreamBytes(d), order: eventOrder{max: maxEvents(d)}}
 	r.position.Store(resumed)
 	return r
 }
 
+// maxStreamBytes returns the limit of the stream of a request. Without a number of tokens it is that of other responses.
+func maxStreamBytes(d fuchsiaspoke.Demand) int64 {
+	if d.OutputTokens <= 0 {
+		return maxResponseBytes
+	}
+	return bytelimiter.StreamBytes(d.OutputTokens)
+}
+
 // lastEvent returns the ID of the last event that was sent to the caller.
 func (r *streamRelay) lastEvent() string {
 	if p := r.position.Load(); p != nil {
@@ -73,20 +88,25 @@
 	return !r.headSent.Load() || route.Resumable && r.lastEvent() != ""
 }
 
-// relayEvents relays the events in the body of a response. It calls receive after each read that returns data, and ends with errStalled if that
-// returns false. It calls relayed once the events of that read were sent.
+// relayEvents relays the events in the body of a response. It calls receive after each read, with whether that continues the stream: in an
+// event stream only events do, since bytes that complete none may go on without end. It ends with errStalled if receive returns false, and
+// calls relayed once the events of a read were sent.
 func (r *streamRelay) relayEvents(
-	response *transport.Response, body io.Reader, softwareVersion string, receive func() bool, relayed func(),
+	response *transport.Response, from io.Reader, softwareVersion string, receive func(progress bool) bool, relayed func(),
 ) error {
 	r.splitter, r.softwareVersion = eventsplitter.Splitter{}, softwareVersion
+	r.order.restart()
+	body := bytelimiter.Limiter{Reader: from}
+	body.Limit("response stream", r.maxBytes)
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			if !receive() {
+			events := r.splitter.Add(buffer[:n])
+			if !receive(!mayBeEventStream(response.Header) || r.isProgress(events)) {
 				return errStalled
 			}
-			if sendErr := r.sendEvents(response, r.splitter.Add(buffer[:n])); sendErr != nil {
+			if sendErr := r.sendInOrder(response, events); sendErr != nil {
 				return sendErr
 			}
 			relayed()
@@ -98,7 +118,7 @@
 			return errors.Wrap(err, "read stream")
 		}
 		if len(r.splitter.Rest()) > maxEventBytes {
-			return errors.New("stream event exceeds the size limit")
+			return &fuchsiaspoke.LimitError{Part: "stream event", Bytes: maxEventBytes}
 		}
 	}
 }
@@ -110,6 +130,18 @@
 	r.out.Head(http.StatusOK, response.Header, -1)
 }
 
+// sendInOrder sends complete events, up to the first one that is out of order.
+func (r *streamRelay) sendInOrder(response *transport.Response, events []byte) error {
+	if !mayBeEventStream(response.Header) {
+		return r.sendEvents(response, events)
+	}
+	inOrder, orderErr := r.order.accept(events)
+	if err := r.sendEvents(response, inOrder); err != nil {
+		return err
+	}
+	return orderErr
+}
+
 // sendEvents sends complete events, if there are any.
 func (r *streamRelay) sendEvents(response *transport.Response, events []byte) error {
 	if len(events) == 0 {
@@ -127,6 +159,11 @@
 	return nil
 }
 
+// isProgress reports whether events continue the stream: with an id, or with data where no event of the stream has had an id.
+func (r *streamRelay) isProgress(events []byte) bool {
+	return lastID(events) != "" || r.lastEvent() == "" && hasData(events)
+}
+
 // recordPause updates the longest pause between two writes of events.
 func (r *streamRelay) recordPause(now time.Time) {
 	if !r.lastSent.IsZero() {
@@ -135,11 +172,10 @@
 	r.lastSent = now
 }
 
-// finishStream completes an attempt whose body has ended. A body that is no event stream is sent to its last byte; one without a
-// Content-Type is taken for an event stream.
+// finishStream completes an attempt whose body has ended. A body that is no event stream is sent to its last byte.
 func (r *streamRelay) finishStream(response *transport.Response) error {
 	rest := r.splitter.Rest()
-	if len(rest) > 0 && (isEventStream(response.Header) || response.Header.Get("Content-Type") == "") {
+	if len(rest) > 0 && mayBeEventStream(response.Header) {
 		return errEndedInsideEvent
 	}
 	r.sendHead(response)
@@ -158,6 +194,11 @@
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
+// mayBeEventStream reports whether a response of an engine is taken for a stream of events: also one without a Content-Type is.
+func mayBeEventStream(h http.Header) bool {
+	return isEventStream(h) || h.Get("Content-Type") == ""
+}
+
 // bodyEnd returns how a body ended whose reading gave err.
 func bodyEnd(err error) fuchsiaspoke.BodyEnd {
 	switch {
@@ -169,15 +210,14 @@
 	return fuchsiaspoke.BodyComplete
 }
 
-// lastID returns the ID of the last event that has one.
-func lastID(events []byte) string {
-	id := ""
+// hasData reports whether an event has data.
+func hasData(events []byte) bool {
 	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id = string(bytes.TrimSpace(value))
+		if bytes.HasPrefix(line, []byte("data:")) {
+			return true
 		}
 	}
-	return id
+	return false
 }
 
 func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -85,14 +85,14 @@
 	stalled   *attempt
 	// timeout is how long the attempt may receive nothing before it is stalled.
 	timeout time.Duration
-	// progress receives a value after data arrived, and ended whether the attempt is complete.
+	// progress receives a value after the attempt went on, and ended whether the attempt is complete.
 	progress chan struct{}
 	ended    chan bool
 	// next receives the attempt that takes over, or nil.
 	next chan *attempt
 
 	mu sync.Mutex
-	// received counts the reads of the attempt that returned data, up to the time at which another attempt has takenOver.
+	// received counts the reads of the attempt that continued it, up to the time at which another attempt has takenOver.
 	received  int
 	takenOver bool
 	// relaying means that data that were read are being sent to the caller; idleSince is when that ended last.
@@ -100,7 +100,7 @@
 	idleSince time.Time
 }
 
-// watchStall starts the watch of an attempt, which is stalled once it has received nothing for the time first. It ends with the call of
+// watchStall starts the watch of an attempt, which is stalled once it has made no progress for the time first. It ends with the call of
 // end; ctx is that of the request.
 func (t *requestTask) watchStall(ctx context.Context, a *attempt, first time.Duration, find finder) *stallWatch {
 	task := *t
@@ -151,7 +151,7 @@
 }
 
 // search looks for an attempt that takes over, and ends the stalled one if there is. It reports whether the stalled one went on instead,
-// which it has if more than the given number of reads returned data.
+// which it has if more than the given number of reads have continued it.
 func (w *stallWatch) search(ctx context.Context, received int) (next *attempt, wentOn bool) {
 	ctx, stop := context.WithCancelCause(ctx)
 	lastTry := make(chan struct{})
@@ -184,7 +184,7 @@
 	return next, false
 }
 
-// wentOnAfter returns a channel that is closed once more reads than the given number have returned data, or ctx has ended.
+// wentOnAfter returns a channel that is closed once more reads than the given number have continued the attempt, or ctx has ended.
 func (w *stallWatch) wentOnAfter(ctx context.Context, received int) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
@@ -214,12 +214,13 @@
 	return w.takenOver
 }
 
-// receive tells the watch that a read has returned data, and reports whether the attempt may relay them: another one may have taken over.
-func (w *stallWatch) receive() bool {
+// receive tells the watch that a read has returned data, and whether they continue the attempt. It reports whether the attempt may relay
+// them: another one may have taken over.
+func (w *stallWatch) receive(progress bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.takenOver {
-		return false
+	if w.takenOver || !progress {
+		return !w.takenOver
 	}
 	w.received++
 	w.relaying = true
@@ -234,7 +235,9 @@
 func (w *stallWatch) relayed() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.relaying, w.idleSince = false, time.Now()
+	if w.relaying {
+		w.relaying, w.idleSince = false, time.Now()
+	}
 }
 
 // idle returns for how long the attempt has received nothing while its caller had everything, which is 0 while data are being relayed, and
