A request over a link ends within 5 s and 8 MiB

A VM read the bytes of another VM's request for as long as the link lived, and up to 64 MiB of each; of one that it gave up, it left the stream open, so that the sender waited. Cause: link/acceptor had no time limit for requests, took the limit of responses, and did not stop the stream after an error. Change: limits of its own, and the stream is stopped with an error code. The line "Request frame could not be read" names the VM. After: both stopped, within 8 s and 16 MiB.

--- a/link/acceptor/acceptor.go
+++ b/link/acceptor/acceptor.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"crypto/tls"
+	"io"
 	"sync"
 	"time"
 
@@ -20,6 +21,12 @@
 	defaultIdleTimeout = 2 * time.Second
 	// maxStreams is the maximum number of concurrent calls on one connection.
 	maxStreams = 10_000
+	// maxRequestBytes bounds a request, which holds at most one request of a caller.
+	maxRequestBytes = 8 << 20
+	// requestTimeout bounds how long a request takes to arrive.
+	requestTimeout = 5 * time.Second
+	// requestRejectedCode is the QUIC stream error code of requests that could not be read.
+	requestRejectedCode = quic.StreamErrorCode(2)
 	// noErrorCode is the QUIC application error code of connections that the acceptor closes.
 	noErrorCode = quic.ApplicationErrorCode(0)
 )
@@ -92,11 +99,24 @@
 	}
 }
 
+// readRequest reads a request, which ends within maxRequestBytes and requestTimeout.
+func (a *Acceptor) readRequest(stream *quic.Stream) (frame.Frame, error) {
+	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
+		return frame.Frame{}, err
+	}
+	request, err := frame.Reader(io.LimitReader(stream, maxRequestBytes), a.Clock)()
+	if err != nil {
+		return frame.Frame{}, err
+	}
+	return request, stream.SetReadDeadline(time.Time{})
+}
+
 func (a *Acceptor) serveStream(stream *quic.Stream, vm string) {
 	defer stream.Close()
-	request, err := frame.Reader(stream, a.Clock)()
+	request, err := a.readRequest(stream)
 	if err != nil {
 		klog.V(1).InfoS("Request frame could not be read", "peer", vm, "err", err)
+		stream.CancelRead(requestRejectedCode)
 		return
 	}
 	handle, ok := a.handlers[request.Method]
--- a/link/dialer/dialer_test.go
+++ b/link/dialer/dialer_test.go
@@ -161,3 +161,41 @@
 		d.CloseVM(vm)
 	}
 }
+
+// A VM sends the bytes of a request without end, or one at a time.
+func TestRequestWithoutEndIsGivenUp(t *testing.T) {
+	key := strings.Repeat("ab", 32)
+	vm, _ := startVM(t, key)
+	for name, c := range map[string]struct {
+		part     []byte
+		interval time.Duration
+	}{
+		// Each request begins as a byte string of 2^60 bytes.
+		"trickled": {make([]byte, 1), 100 * time.Millisecond},
+		"fast":     {make([]byte, 4096), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := quic.DialAddr(t.Context(), vm.LinkAddress, tlsConfig(t, key, "vm_caller"), &quic.Config{KeepAlivePeriod: time.Second / 2})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.CloseWithError(0, "") }()
+			stream, err := conn.OpenStreamSync(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			began, sent := time.Now(), 0
+			_ = stream.SetWriteDeadline(began.Add(8 * time.Second))
+			_, err = stream.Write([]byte{0xa1, 0x02, 0x5b, 0x10, 0, 0, 0, 0, 0, 0, 0})
+			for err == nil {
+				_, err = stream.Write(c.part)
+				sent += len(c.part)
+				time.Sleep(c.interval)
+			}
+			var stopped *quic.StreamError
+			if !errors.As(err, &stopped) || sent > 16<<20 || time.Since(began) > 8*time.Second {
+				t.Errorf("error %v after %v and %d bytes, want the stream to be stopped", err, time.Since(began), sent)
+			}
+		})
+	}
+}
