--- a/link/dialer/dialer_test.go
+++ b/link/dialer/dialer_test.go
@@ -162,7 +162,6 @@
 	}
 }
 
-<<<<<<< HEAD
 // silentVM returns a VM whose address receives datagrams and answers none.
 func silentVM(t *testing.T) fuchsiaspoke.VM {
 	t.Helper()
@@ -203,7 +202,7 @@
 		if err := <-others; !errors.Is(err, dialer.ErrNotSent) {
 			t.Errorf("error %v of a call to a silent VM, want ErrNotSent", err)
 		}
-=======
+
 // A VM sends the bytes of a request without end, or one at a time.
 func TestRequestWithoutEndIsGivenUp(t *testing.T) {
 	key := strings.Repeat("ab", 32)
@@ -239,6 +238,5 @@
 				t.Errorf("error %v after %v and %d bytes, want the stream to be stopped", err, time.Since(began), sent)
 			}
 		})
->>>>>>> refs/remotes/bytes
 	}
 }
