--- a/link/dialer/dialer_test.go
+++ b/link/dialer/dialer_test.go
@@ -202,6 +202,8 @@
 		if err := <-others; !errors.Is(err, dialer.ErrNotSent) {
 			t.Errorf("error %v of a call to a silent VM, want ErrNotSent", err)
 		}
+	}
+}
 
 // A VM sends the bytes of a request without end, or one at a time.
 func TestRequestWithoutEndIsGivenUp(t *testing.T) {
