--- a/zone/registrar/review2_burst_test.go
+++ b/zone/registrar/review2_burst_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,7 +36,10 @@
 		}
 		return out
 	}
+	var current atomic.Pointer[fuchsiaspoke.PublishedState]
+	r.Published = current.Load
 	f.publish(time.Now(), "v1")
+	current.Store(f.published)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := r.Run(ctx)
 	defer func() { cancel(); <-ended }()
@@ -44,6 +48,7 @@
 		r.Record(fmt.Sprint("a", i), origin("v1"), 20*time.Second)
 	}
 	f.publish(time.Now(), "v1", "v2")
+	current.Store(f.published)
 	longest := time.Duration(0)
 	for until := time.Now().Add(500 * time.Millisecond); time.Now().Before(until); time.Sleep(time.Millisecond) {
 		began := time.Now()
