A replacement that begins behind where the caller stands is not used

Callers could get an event twice, or events of two software versions in one answer: an engine that had stalled sent one more event and broke off while its replacement, opened from the position before, was on its way; that replacement then went on. TestReplacementOpenedBeforeLastEventIsNotUsed and TestReplacementOpenedBeforeFirstEventDoesNotMixSoftwareVersions failed before (188 to 200 of 200 streams).

--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -169,6 +169,12 @@
 		}
 		close(lastTry)
 		next = <-found
+		if w.readsReceived() != received {
+			// The attempt went on before it ended, so that the other one begins behind where the caller stands.
+			stop(errNotNeeded)
+			w.task.discard(next)
+			return nil, false
+		}
 	}
 	if wentOn {
 		stop(errNotNeeded)
