The recorded origin of a stream does not change

A VM that had taken a resumed stream for one of another software version recorded that, and its record replaced the right one at its keepers, so that one mistake became that of all. A VM that resumes a stream now records nothing, and the first record holds.

--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -147,7 +147,6 @@
 	version, known := t.Origins.Find(ctx, t.request.BegunBy, t.request.Service)
 	if known {
 		t.resumed = &streamPosition{lastEvent: t.request.LastEvent, softwareVersion: version}
-		t.recordOrigin(version)
 		return nil
 	}
 	return fuchsiaspoke.Refusal{
@@ -161,15 +160,8 @@
 	if !t.request.Route.Streaming || !t.request.Route.Resumable {
 		return
 	}
-	begunBy := t.request.ID
-	if t.request.LastEvent != "" {
-		begunBy = t.request.BegunBy
-	}
-	if begunBy == "" {
-		return
-	}
 	origin := fuchsiaspoke.StreamOrigin{Service: t.request.Service, SoftwareVersion: softwareVersion}
-	t.Origins.Record(begunBy, origin, t.request.Deadline-t.Clock())
+	t.Origins.Record(t.request.ID, origin, t.request.Deadline-t.Clock())
 }
 
 // untriedReplicas returns the replicas of the request's service that may be sent to now and were not tried yet.
--- a/zone/recordkeeper/recordkeeper.go
+++ b/zone/recordkeeper/recordkeeper.go
@@ -31,14 +31,16 @@
 	expiresAt time.Duration
 }
 
-// Put adds a record, or extends the one of the same stream.
+// Put adds a record. The origin of a stream that is known does not change.
 func (k *RecordKeeper) Put(now time.Duration, r fuchsiaspoke.StreamRecord) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.records == nil {
 		k.records = make(map[fuchsiaspoke.StreamKey]entry)
 	}
-	if _, known := k.records[r.Key]; !known {
+	if known, found := k.records[r.Key]; found && known.expiresAt >= now {
+		return
+	} else if !found {
 		k.order = append(k.order, r.Key)
 	}
 	k.records[r.Key] = entry{r.Origin, now + min(r.TTL, maxTTL)}
