A VM that slept knows no versions of before

A process suspended for longer than a stream may last was certain that the versions it saw on waking were the only ones.

--- a/contract/historian/historian.go
+++ b/contract/historian/historian.go
@@ -12,14 +12,18 @@
 // StreamLifetime is the longest time from the beginning of a stream until its caller resumes it for the last time.
 const StreamLifetime = 30 * time.Second
 
+// maxGap is the time without an observation after which versions may have come and gone unseen, as while the process was suspended.
+const maxGap = 5 * time.Second
+
 // Historian follows what is published. Its zero value is ready to use.
 type Historian struct {
 	// FirstStart means that no VM of the fleet has run before, so that no stream began before this process.
 	FirstStart bool
 
 	mu sync.Mutex
-	// knownSince is the time of the first published state with replicas.
+	// knownSince is the time of the first published state with replicas since the last gap, and observedAt that of the last one.
 	knownSince time.Duration
+	observedAt time.Duration
 	last       *fuchsiaspoke.PublishedState
 	current    map[fuchsiaspoke.StreamOrigin]bool
 	// lastSeen holds by service and software version when a replica was last published with it.
@@ -39,6 +43,10 @@
 	if h.lastSeen == nil {
 		h.lastSeen = make(map[string]map[string]time.Duration)
 	}
+	if h.observedAt > 0 && now-h.observedAt > maxGap {
+		h.knownSince, h.FirstStart = 0, false
+	}
+	h.observedAt = now
 	if h.knownSince == 0 && len(h.current) > 0 {
 		h.knownSince = now
 	}
