A VM asks others before it takes a stream for one of the only version that it knows

Callers' streams could go on at another software version at a VM that was cut off from the store and still knew one version; at one that had just restarted, against others that had seen two; and at one that had not yet looked at what is published. Now the others are asked first; one that saw another version within a stream's life outweighs what this VM believes, and without any reply only a fresh state is trusted. One class: a VM's own view, as old as it may be, taken for that of all.

--- a/stream_origin.go
+++ b/stream_origin.go
@@ -41,4 +41,6 @@
 	// SingleVersion reports that for as long as a stream lasts the service has had no software version but OnlyVersion.
 	SingleVersion bool   `cbor:"3,keyasint,omitempty"`
 	OnlyVersion   string `cbor:"4,keyasint,omitempty"`
+	// Mixed reports that the service has had several software versions for as long as a stream lasts.
+	Mixed bool `cbor:"5,keyasint,omitempty"`
 }
--- a/zone/registrar/registrar.go
+++ b/zone/registrar/registrar.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	// recordTimeout bounds one delivery, and originTimeout the question for a record, for which a caller waits.
 	recordTimeout = 500 * time.Millisecond
 	originTimeout = 250 * time.Millisecond
+	// freshFor is the age up to which a VM that reaches no other one trusts its published state.
+	freshFor = 2 * time.Second
 	// maxUnsent bounds the records that wait for delivery. They wait as long as a service has one software version.
 	maxUnsent = 4096
 )
@@ -91,37 +94,54 @@
 	return version, source != ""
 }
 
-// find returns the software version and how it is known; an empty source means that it isn't.
+// find returns the software version and how it is known; an empty source means that it isn't. What this VM knows by itself may be older
+// than what others know, so they are asked unless it began the stream.
 func (r *Registrar) find(ctx context.Context, begunBy, service string) (version, source string) {
 	now := r.Clock()
+	r.history.Observe(now, r.Published())
 	key := fuchsiaspoke.NewStreamKey(begunBy)
 	if origin, known := r.records.Get(now, key); known && begunBy != "" {
 		return versionOf(origin, service, "own_record")
 	}
-	only, certain := r.history.Only(now, service)
-	if certain {
-		return only, "only_version"
-	}
 	replies := r.ask(ctx, fuchsiaspoke.StreamQuery{Key: key, Service: service})
 	for _, reply := range replies {
 		if reply.Known && begunBy != "" {
 			return versionOf(reply.Origin, service, "record_of_another_vm")
 		}
 	}
-	if r.history.Mixed(now, service) {
+	only, certain := r.history.Only(now, service)
+	if r.history.Mixed(now, service) || anyOtherVersion(replies, only) {
 		return "", ""
 	}
-	for _, reply := range replies {
-		if reply.SingleVersion && reply.OnlyVersion == only {
-			return only, "only_version_of_another_vm"
-		}
-	}
-	if len(r.Published().Replicas) > 0 && !r.anyStartedLately(service) {
+	switch {
+	case certain && (len(replies) > 0 || r.isFresh()):
+		return only, "only_version"
+	case anyCertain(replies):
+		return only, "only_version_of_another_vm"
+	case r.isFresh() && !r.anyStartedLately(service):
 		return only, "no_new_replica"
 	}
 	return "", ""
 }
 
+// anyOtherVersion reports whether another VM knows of a software version besides only.
+func anyOtherVersion(replies []fuchsiaspoke.StreamReply, only string) bool {
+	return slices.ContainsFunc(replies, func(reply fuchsiaspoke.StreamReply) bool {
+		return reply.Mixed || reply.SingleVersion && reply.OnlyVersion != only
+	})
+}
+
+// anyCertain reports whether another VM is certain that there was one software version.
+func anyCertain(replies []fuchsiaspoke.StreamReply) bool {
+	return slices.ContainsFunc(replies, func(reply fuchsiaspoke.StreamReply) bool { return reply.SingleVersion })
+}
+
+// isFresh reports whether the published state is known to have been current a moment ago.
+func (r *Registrar) isFresh() bool {
+	p := r.Published()
+	return len(p.Replicas) > 0 && r.Clock()-p.ReadAt <= freshFor
+}
+
 // versionOf returns the software version of a recorded origin, unless the stream began at another service.
 func versionOf(o fuchsiaspoke.StreamOrigin, service, source string) (string, string) {
 	if o.Service != service {
@@ -281,5 +301,6 @@
 	now := r.Clock()
 	reply.Origin, reply.Known = r.records.Get(now, q.Key)
 	reply.OnlyVersion, reply.SingleVersion = r.history.Only(now, q.Service)
+	reply.Mixed = r.history.Mixed(now, q.Service)
 	return send(reply)
 }
--- a/zone/registrar/registrar_test.go
+++ b/zone/registrar/registrar_test.go
@@ -42,7 +42,7 @@
 
 // publish sets the software versions of the service's replicas, which started at a time.
 func (f *fleet) publish(started time.Time, versions ...string) {
-	p := &fuchsiaspoke.PublishedState{Replicas: map[string]fuchsiaspoke.Replica{}}
+	p := &fuchsiaspoke.PublishedState{Replicas: map[string]fuchsiaspoke.Replica{}, ReadAt: time.Second + time.Since(f.began)}
 	for _, v := range versions {
 		p.Replicas[v] = fuchsiaspoke.Replica{ID: v, Service: service, SoftwareVersion: v, StartedAtMs: started.UnixMilli()}
 	}
