The question for a stream's origin ends with its timeout

A caller waited up to 3 s for a VM that was dead, behind the handshakes of other calls to it. A service without replicas has no only version.

--- a/contract/historian/historian.go
+++ b/contract/historian/historian.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// Serves reports whether the service had any replica within StreamLifetime.
+func (h *Historian) Serves(now time.Duration, name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.recent(now, name)) > 0
+}
+
 // Mixed reports whether the service had several software versions within StreamLifetime.
 func (h *Historian) Mixed(now time.Duration, name string) bool {
 	h.mu.Lock()
--- a/zone/registrar/registrar.go
+++ b/zone/registrar/registrar.go
@@ -110,7 +110,7 @@
 		}
 	}
 	only, certain := r.history.Only(now, service)
-	if r.history.Mixed(now, service) || anyOtherVersion(replies, only) {
+	if !r.history.Serves(now, service) || r.history.Mixed(now, service) || anyOtherVersion(replies, only) {
 		return "", ""
 	}
 	switch {
@@ -172,13 +172,16 @@
 	}
 	var out []fuchsiaspoke.StreamReply
 	for range vms {
-		reply := <-replies
-		if reply == nil {
-			continue
-		}
-		out = append(out, *reply)
-		if reply.Known {
-			break
+		select {
+		case reply := <-replies:
+			if reply != nil {
+				out = append(out, *reply)
+			}
+			if reply != nil && reply.Known {
+				return out
+			}
+		case <-ctx.Done():
+			return out
 		}
 	}
 	return out
