--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -139,7 +139,7 @@
 // findOrigin finds the software version at which a stream began that the caller resumes. It refuses the request if that is unknown:
 // what two software versions make of one stream doesn't fit together.
 func (t *requestTask) findOrigin(ctx context.Context) error {
-	if t.request.LastEvent == "" {
+	if t.request.LastEvent == "" || !t.request.Route.Streaming || !t.request.Route.Resumable {
 		return nil
 	}
 	t.Count("stream_resumed_by_caller")
