A resumed stream goes to the service that its record names

When a contract turned the split of a route round, callers' resumed streams went to another service than the one that began them, and were refused.

--- a/contract.go
+++ b/contract.go
@@ -45,6 +45,11 @@
 	Open bool
 }
 
+// LeadsTo reports whether the route may send requests to the service.
+func (r ServiceRoute) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t WeightedService) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // WeightedService is a target of a route with its share of the requests, relative to the other weights.
 type WeightedService struct {
 	Service string
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -71,8 +71,9 @@
 type origins interface {
 	// Record notes the origin of the stream that an attempt began, which its caller may resume for the time ttl.
 	Record(begunBy string, origin fuchsiaspoke.StreamOrigin, ttl time.Duration)
-	// Find returns the software version at which a stream of the service began, and whether it is known.
-	Find(ctx context.Context, begunBy, service string) (version string, known bool)
+	// Find returns where the stream began that an attempt began, and whether that is known. service is the one that the request would
+	// go to.
+	Find(ctx context.Context, begunBy, service string) (origin fuchsiaspoke.StreamOrigin, known bool)
 }
 
 type retryBudget interface {
@@ -117,7 +118,6 @@
 // of the route's timeout, whichever is earlier. On failure it returns a *fuchsiaspoke.Refusal if nothing was written to the
 // caller, or else ErrResponseInterrupted or ErrCallerDisconnected.
 func (s *Sender) Serve(ctx context.Context, req fuchsiaspoke.AdmittedRequest, m fuchsiaspoke.Message, out responseWriter) error {
-	s.RetryBudget.Add(req.Service)
 	limit := min(req.Deadline, req.Arrived+req.Route.Timeout) - responseMargin
 	inner, cancel := context.WithTimeoutCause(ctx, max(limit-s.Clock(), 0), errRequestTimeout)
 	defer cancel()
@@ -125,7 +125,8 @@
 	if refusal := t.findOrigin(inner); refusal != nil {
 		return refusal
 	}
-	if req.Demand.Model != "" && s.isEngineService(req.Service) {
+	s.RetryBudget.Add(t.request.Service)
+	if req.Demand.Model != "" && s.isEngineService(t.request.Service) {
 		return t.serveGeneration(inner)
 	}
 	return t.servePlain(inner)
@@ -136,17 +137,18 @@
 	return c != nil && c.Services[name].Engine != nil
 }
 
-// findOrigin finds the software version at which a stream began that the caller resumes. It refuses the request if that is unknown:
-// what two software versions make of one stream doesn't fit together.
+// findOrigin finds the service and the software version at which a stream began that the caller resumes. It refuses the request if they
+// are unknown, or the route no longer leads to the service: what two software versions make of one stream doesn't fit together.
 func (t *requestTask) findOrigin(ctx context.Context) error {
 	if t.request.LastEvent == "" || !t.request.Route.Streaming || !t.request.Route.Resumable {
 		return nil
 	}
 	t.Count("stream_resumed_by_caller")
 	t.Log("stream resumed by its caller", "request", t.request.ID, "begun_by", t.request.BegunBy, "last_event", t.request.LastEvent)
-	version, known := t.Origins.Find(ctx, t.request.BegunBy, t.request.Service)
-	if known {
-		t.resumed = &streamPosition{lastEvent: t.request.LastEvent, softwareVersion: version}
+	origin, known := t.Origins.Find(ctx, t.request.BegunBy, t.request.Service)
+	if known && (origin.Service == t.request.Service || t.request.Route.LeadsTo(origin.Service)) {
+		t.request.Service = origin.Service
+		t.resumed = &streamPosition{lastEvent: t.request.LastEvent, softwareVersion: origin.SoftwareVersion}
 		return nil
 	}
 	return fuchsiaspoke.Refusal{
--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -171,7 +171,9 @@
 type noOrigins struct{}
 
 func (noOrigins) Record(string, fuchsiaspoke.StreamOrigin, time.Duration) {}
-func (noOrigins) Find(context.Context, string, string) (string, bool)     { return "", false }
+func (noOrigins) Find(context.Context, string, string) (fuchsiaspoke.StreamOrigin, bool) {
+	return fuchsiaspoke.StreamOrigin{}, false
+}
 
 // plainProtocol names the last event, and recognizes refusals.
 type plainProtocol struct{}
--- a/zone/registrar/registrar.go
+++ b/zone/registrar/registrar.go
@@ -83,35 +83,36 @@
 	}
 }
 
-// Find returns the software version at which a stream of the service began, and whether it is known. begunBy is the attempt that the
-// caller names; it may be empty.
-func (r *Registrar) Find(ctx context.Context, begunBy, service string) (version string, known bool) {
-	version, source := r.find(ctx, begunBy, service)
+// Find returns where a stream began, and whether that is known. begunBy is the attempt that the caller names; it may be empty. service is
+// the one that the request would go to; a record may name another one.
+func (r *Registrar) Find(ctx context.Context, begunBy, service string) (origin fuchsiaspoke.StreamOrigin, known bool) {
+	origin, source := r.find(ctx, begunBy, service)
 	if source == "" {
 		r.Count("stream_origin_unknown")
 	}
-	r.Log("stream origin", "begun_by", begunBy, "service", service, "software", version, "known_from", source)
-	return version, source != ""
+	r.Log("stream origin", "begun_by", begunBy, "service", origin.Service, "software", origin.SoftwareVersion, "known_from", source)
+	return origin, source != ""
 }
 
-// find returns the software version and how it is known; an empty source means that it isn't. What this VM knows by itself may be older
+// find returns the origin and how it is known; an empty source means that it isn't. What this VM knows by itself may be older
 // than what others know, so they are asked unless it began the stream.
-func (r *Registrar) find(ctx context.Context, begunBy, service string) (version, source string) {
+func (r *Registrar) find(ctx context.Context, begunBy, service string) (origin fuchsiaspoke.StreamOrigin, source string) {
 	now := r.Clock()
 	r.history.Observe(now, r.Published())
 	key := fuchsiaspoke.NewStreamKey(begunBy)
 	if origin, known := r.records.Get(now, key); known && begunBy != "" {
-		return versionOf(origin, service, "own_record")
+		return origin, "own_record"
 	}
 	replies := r.ask(ctx, fuchsiaspoke.StreamQuery{Key: key, Service: service})
 	for _, reply := range replies {
 		if reply.Known && begunBy != "" {
-			return versionOf(reply.Origin, service, "record_of_another_vm")
+			return reply.Origin, "record_of_another_vm"
 		}
 	}
-	only, certain := r.history.Only(now, service)
-	if !r.history.Serves(now, service) || r.history.Mixed(now, service) || anyOtherVersion(replies, only) {
-		return "", ""
+	version, certain := r.history.Only(now, service)
+	only := fuchsiaspoke.StreamOrigin{Service: service, SoftwareVersion: version}
+	if !r.history.Serves(now, service) || r.history.Mixed(now, service) || anyOtherVersion(replies, version) {
+		return fuchsiaspoke.StreamOrigin{}, ""
 	}
 	switch {
 	case certain && (len(replies) > 0 || r.isFresh()):
@@ -121,7 +122,7 @@
 	case r.isFresh() && !r.anyStartedLately(service):
 		return only, "no_new_replica"
 	}
-	return "", ""
+	return fuchsiaspoke.StreamOrigin{}, ""
 }
 
 // anyOtherVersion reports whether another VM knows of a software version besides only.
@@ -142,14 +143,6 @@
 	return len(p.Replicas) > 0 && r.Clock()-p.ReadAt <= freshFor
 }
 
-// versionOf returns the software version of a recorded origin, unless the stream began at another service.
-func versionOf(o fuchsiaspoke.StreamOrigin, service, source string) (string, string) {
-	if o.Service != service {
-		return "", ""
-	}
-	return o.SoftwareVersion, source
-}
-
 // anyStartedLately reports whether a replica of the service is so young that its software version may be new.
 func (r *Registrar) anyStartedLately(service string) bool {
 	since := time.Now().Add(-historian.StreamLifetime).UnixMilli()
--- a/zone/registrar/registrar_test.go
+++ b/zone/registrar/registrar_test.go
@@ -99,11 +99,11 @@
 
 // find asks a VM at which software version a stream began.
 func (f *fleet) find(vm int, begunBy string) string {
-	version, known := f.registrars[f.vms[vm].ID].Find(context.Background(), begunBy, service)
-	if !known {
+	o, known := f.registrars[f.vms[vm].ID].Find(context.Background(), begunBy, service)
+	if !known || o.Service != service {
 		return "unknown"
 	}
-	return version
+	return o.SoftwareVersion
 }
 
 func TestOriginOutlivesItsVMWhileVersionsAreMixed(t *testing.T) {
