--- a/zone/registrar/registrar.go
+++ b/zone/registrar/registrar.go
@@ -284,6 +284,17 @@
 	defer cancel()
 	if err := r.Dialer.Call(ctx, vm, MethodRecord, records, nil); err != nil {
 		r.Log("stream records not delivered", "peer", vm.ID, "records", len(records), "error", err.Error())
+		r.requeue(records)
+	}
+}
+
+// requeue has records be told again, after a VM did not take them: it may be gone, and another one keeps them then.
+func (r *Registrar) requeue(records []fuchsiaspoke.StreamRecord) {
+	now := r.Clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range records[:min(len(records), maxUnsent-len(r.unsent))] {
+		r.unsent = append(r.unsent, unsentRecord{record, now + record.TTL})
 	}
 }
 
