--- a/upstream/controller/review2_test.go
+++ b/upstream/controller/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -39,7 +40,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := c.Run(ctx)
-	defer func() { cancel(); <-done }()
+	defer func() {
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	}()
 	incarnation := func(id string) (out fuchsiaspoke.ReplicaIncarnation) {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -64,7 +64,7 @@
 			t.discard(next)
 			return t.resultAfterLastAttempt(ctx, relay, outcome)
 		}
-		if next == nil && !outcome.notSent && !(relay.mayGoOn(t.request.Route) && t.takeRetry(outcome.notRun)) {
+		if next == nil && !outcome.notSent && (!relay.mayGoOn(t.request.Route) || !t.takeRetry(outcome.notRun)) {
 			return t.resultAfterLastAttempt(ctx, relay, outcome)
 		}
 		a = next
--- a/zone/registrar/review2_burst_test.go
+++ b/zone/registrar/burst_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -42,7 +43,12 @@
 	current.Store(f.published)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := r.Run(ctx)
-	defer func() { cancel(); <-ended }()
+	defer func() {
+		cancel()
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	}()
 	time.Sleep(200 * time.Millisecond)
 	for i := range 4096 {
 		r.Record(fmt.Sprint("a", i), origin("v1"), 20*time.Second)
--- a/zone/registrar/review2_dead_test.go
+++ b/zone/registrar/dead_test.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	ring, err := keyring.New(hex.EncodeToString(make([]byte, 32)))
 	if err != nil {
 		t.Fatal(err)
--- a/zone/registrar/registrar.go
+++ b/zone/registrar/registrar.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// MethodRecord is the link method that tells another VM of streams, and MethodOrigin the one that asks for the origin of one.
+	// MethodRecord is the link method that tells another VM of streams.
 	MethodRecord = "stream.record"
+	// MethodOrigin is the link method that asks another VM for the origin of a stream.
 	MethodOrigin = "stream.origin"
 
 	// keepers is the number of VMs that keep a record, in different availability zones where there are as many.
