--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
-	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/bytelimiter"
-	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/eventsplitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/permitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/selector"
@@ -137,35 +135,6 @@
 	return c != nil && c.Services[name].Engine != nil
 }
 
-// findOrigin finds the service and the software version at which a stream began that the caller resumes. It refuses the request if they
-// are unknown, or the route no longer leads to the service: what two software versions make of one stream doesn't fit together.
-func (t *requestTask) findOrigin(ctx context.Context) error {
-	if t.request.LastEvent == "" || !t.request.Route.Streaming || !t.request.Route.Resumable {
-		return nil
-	}
-	t.Count("stream_resumed_by_caller")
-	t.Log("stream resumed by its caller", "request", t.request.ID, "begun_by", t.request.BegunBy, "last_event", t.request.LastEvent)
-	origin, known := t.Origins.Find(ctx, t.request.BegunBy, t.request.Service)
-	if known && (origin.Service == t.request.Service || t.request.Route.LeadsTo(origin.Service)) {
-		t.request.Service = origin.Service
-		t.resumed = &streamPosition{lastEvent: t.request.LastEvent, softwareVersion: origin.SoftwareVersion}
-		return nil
-	}
-	return fuchsiaspoke.Refusal{
-		Code: fuchsiaspoke.CodeNotResumable, Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable,
-		Message: "the software version at which the stream began is not known; send the request anew from its beginning",
-	}.WithRetryAfter(defaultRetryAfter)
-}
-
-// recordOrigin notes the software version at which the request's stream began.
-func (t *requestTask) recordOrigin(softwareVersion string) {
-	if !t.request.Route.Streaming || !t.request.Route.Resumable {
-		return
-	}
-	origin := fuchsiaspoke.StreamOrigin{Service: t.request.Service, SoftwareVersion: softwareVersion}
-	t.Origins.Record(t.request.ID, origin, t.request.Deadline-t.Clock())
-}
-
 // untriedReplicas returns the replicas of the request's service that may be sent to now and were not tried yet.
 func (t *requestTask) untriedReplicas() []fuchsiaspoke.Replica {
 	return slices.DeleteFunc(t.Permitter.Ready(t.request.Service), func(r fuchsiaspoke.Replica) bool {
@@ -216,48 +185,6 @@
 	t.triedReplicas[id] = true
 }
 
-// servePlain responds to a request for a plain service, or one for an engine service whose demand names no model.
-func (t *requestTask) servePlain(ctx context.Context) error {
-	var last *reply
-	for {
-		ranked := t.Tracker.Rank(t.Clock(), t.untriedReplicas())
-		if len(ranked) == 0 || t.Clock() > t.sendDeadline-minSendTime {
-			return t.finalResponse(ctx, last, "no replica left to try before the deadline")
-		}
-		r, err := t.attemptWhole(ctx, ranked[0])
-		t.markTried(ranked[0].ID)
-		if t.callerCtx.Err() != nil {
-			return ErrCallerDisconnected
-		}
-		if err == nil && (!r.failed || !t.takeRetry(r.notRun)) {
-			if r.notRun {
-				return t.refuse(r.status, "replica did not accept the request")
-			}
-			return t.writeReply(r)
-		}
-		if err == nil {
-			last = latestExecutedReply(last, r)
-			continue
-		}
-		if notSent(err) {
-			continue
-		}
-		t.outcomeUnknown = true
-		if !t.takeRetry(false) {
-			return t.finalResponse(ctx, last, err.Error())
-		}
-	}
-}
-
-// latestExecutedReply returns r, or last if the replica of r did not run the request. The result is relayed to the caller if no
-// further attempt succeeds.
-func latestExecutedReply(last, r *reply) *reply {
-	if r.notRun {
-		return last
-	}
-	return r
-}
-
 // finalResponse ends a plain request or a generation without a successful attempt: with ErrCallerDisconnected if the caller has
 // disconnected, with the last failed response if there is one, or else with a refusal. The refusal's status is 502, or 504 if ctx
 // has ended, when a replica may have run the request, and 503 otherwise.
@@ -334,76 +261,6 @@
 	failed bool
 }
 
-// attemptWhole sends the request to one replica and returns the complete response. If that takes longer than an attempt that another one
-// may follow, another replica is asked as well, and the first complete response is returned.
-func (t *requestTask) attemptWhole(ctx context.Context, r fuchsiaspoke.Replica) (*reply, error) {
-	a := newAttempt(ctx, r, nil)
-	defer a.end(nil)
-	watch := &stallWatch{}
-	if t.request.Route.Idempotent {
-		watch = t.watchStall(ctx, a, attemptObjectives*t.request.Route.Objective, findReplica)
-	}
-	response, err := t.exchangeWhole(a.ctx, r)
-	complete := err == nil && !response.failed
-	next := watch.end(t, complete)
-	defer next.end(nil)
-	if !complete && next != nil {
-		return next.reply, nil
-	}
-	return response, err
-}
-
-// exchangeWhole sends the request to one replica and reads the complete response. It returns an error if there is no complete
-// response to this request; its caller then sets outcomeUnknown unless the request was not sent.
-func (t *requestTask) exchangeWhole(ctx context.Context, r fuchsiaspoke.Replica) (*reply, error) {
-	started := t.Clock()
-	t.Tracker.RecordStart(started, r.ID)
-	response, err := t.send(ctx, fuchsiaspoke.SendOptions{Replica: r, TimeLeft: t.sendDeadline - started})
-	if err != nil {
-		t.recordSendFailure(ctx, r, started, err)
-		return nil, err
-	}
-	defer response.Close()
-	info := t.interpretHead(r, response)
-	body, err := readBody(response)
-	t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
-	if err == nil && !info.Forwardable && !info.NotRun {
-		err = errors.New("response lacks the request's attempt ID or the replica's seal")
-	}
-	if err != nil {
-		t.sendCount++
-		err = &fuchsiaspoke.SendError{Peer: r.Address, Step: "read response", Cause: err}
-		t.recordSendFailure(ctx, r, started, err)
-		return nil, err
-	}
-	if !info.Misdirected {
-		t.sendCount++
-	}
-	failed := response.Status >= http.StatusInternalServerError || info.NotRun
-	t.Tracker.RecordAnswer(t.Clock(), r.ID, t.Clock()-started, failed)
-	t.executed = t.executed || !info.NotRun
-	t.Log("replica answered", "request", t.request.ID, "replica", r.ID, "status", response.Status, "not_run", info.NotRun,
-		"took_ms", (t.Clock() - started).Milliseconds(), "framing", string(response.Framing()))
-	return &reply{
-		status: response.Status, header: response.Header, body: body, notRun: info.NotRun, softwareVersion: r.SoftwareVersion, failed: failed,
-	}, nil
-}
-
-// readBody reads a whole body. It fails if the body is longer than maxResponseBytes, or an event stream that ended inside an event.
-func readBody(response *transport.Response) ([]byte, error) {
-	body, err := bytelimiter.ReadAll(response, "response body", maxResponseBytes)
-	if err != nil {
-		return nil, err
-	}
-	if isEventStream(response.Header) {
-		var s eventsplitter.Splitter
-		if s.Add(body); len(s.Rest()) > 0 {
-			return nil, errEndedInsideEvent
-		}
-	}
-	return body, nil
-}
-
 // recordSendFailure logs the cause of a send without a complete response; ctx is that of the attempt. Unless the caller disconnected,
 // it also counts the failure against the replica and closes the idle connections to it.
 func (t *requestTask) recordSendFailure(ctx context.Context, r fuchsiaspoke.Replica, started time.Duration, err error) {
--- a/vm/sender/stall.go
+++ b/vm/sender/stall.go
@@ -1,75 +1,15 @@
 package sender
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"maps"
 	"sync"
 	"time"
-
-	"github.com/fuchsiaspoke/fuchsiaspoke"
-	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
-	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
 )
 
 // searchInterval is the time between two searches for a replica that takes over a stalled attempt.
 const searchInterval = 300 * time.Millisecond
 
-// attempt is one send of a request to one replica.
-type attempt struct {
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	replica fuchsiaspoke.Replica
-	// admission is nil for plain services.
-	admission *requester.Admission
-	// response is nil until its head was read. It goes on from position, which is nil where the stream begins.
-	response *transport.Response
-	position *streamPosition
-	// body is the body of the response.
-	body io.Reader
-	// reply is the complete response of a plain service that took over.
-	reply   *reply
-	started time.Duration
-	// stopSearch ends the context of the search that found the attempt; nil if there was none.
-	stopSearch context.CancelCauseFunc
-}
-
-func newAttempt(ctx context.Context, r fuchsiaspoke.Replica, admission *requester.Admission) *attempt {
-	ctx, cancel := context.WithCancelCause(ctx)
-	return &attempt{ctx: ctx, cancel: cancel, replica: r, admission: admission}
-}
-
-// end ends the attempt and releases its admission.
-func (a *attempt) end(cause error) {
-	if a == nil {
-		return
-	}
-	if a.response != nil {
-		a.response.Close()
-	}
-	a.cancel(cause)
-	if a.admission != nil {
-		a.admission.Release()
-	}
-	if a.stopSearch != nil {
-		a.stopSearch(cause)
-	}
-}
-
-// discard ends an attempt that is not needed. If nothing was sent, its retry goes back to the budget.
-func (t *requestTask) discard(a *attempt) {
-	switch {
-	case a == nil:
-		return
-	case a.started == 0:
-		t.RetryBudget.Return(t.request.Service)
-	case a.response != nil:
-		t.Tracker.RecordEnd(a.replica.ID)
-	}
-	a.end(errNotNeeded)
-}
-
 // finder returns the attempt that takes over a stalled one, or nil if there is none. It looks until ctx ends, and after lastTry is closed
 // only to the end of the search that is running.
 type finder func(ctx context.Context, t *requestTask, lastTry <-chan struct{}) *attempt
@@ -273,108 +213,3 @@
 	}
 	return next
 }
-
-// findEngine looks for another engine that goes on with the stream of r.
-func findEngine(r *streamRelay) finder {
-	return func(ctx context.Context, t *requestTask, lastTry <-chan struct{}) *attempt {
-		for ctx.Err() == nil {
-			if next := t.resumeAtOther(ctx, r); next != nil {
-				return next
-			}
-			if !sleepUnless(ctx, lastTry) {
-				return nil
-			}
-		}
-		return nil
-	}
-}
-
-// resumeAtOther sends the request to another engine, if one admits it and the retry budget allows it, and waits for the first data of the
-// response: an engine that has sent its head alone may still turn out to be silent itself.
-func (t *requestTask) resumeAtOther(ctx context.Context, r *streamRelay) *attempt {
-	position := r.position.Load()
-	if !r.mayGoOn(t.request.Route) || !t.takeRetry(false) {
-		return nil
-	}
-	admission, replica, refusal := t.acquireAdmission(ctx, position)
-	if refusal != nil {
-		t.RetryBudget.Return(t.request.Service)
-		return nil
-	}
-	a := newAttempt(ctx, replica, admission)
-	t.markTried(replica.ID)
-	if failure := t.open(a, position); failure != nil {
-		if failure.notSent {
-			t.RetryBudget.Return(t.request.Service)
-		}
-		t.outcomeUnknown = t.outcomeUnknown || failure.mayHaveRun()
-		a.end(nil)
-		return nil
-	}
-	if err := a.awaitData(); err != nil {
-		t.recordSendFailure(ctx, replica, a.started, &fuchsiaspoke.SendError{Peer: replica.Address, Step: "read first event", Cause: err})
-		a.end(nil)
-		return nil
-	}
-	return a
-}
-
-// awaitData waits for the first data of the response, or its end.
-func (a *attempt) awaitData() error {
-	first := make([]byte, readBufferBytes)
-	n, err := a.response.Read(first)
-	if n == 0 && err != nil && err != io.EOF {
-		return err
-	}
-	a.body = io.MultiReader(bytes.NewReader(first[:n]), a.response)
-	return nil
-}
-
-// findReplica looks for another replica of a plain service that answers the request, until ctx ends.
-func findReplica(ctx context.Context, t *requestTask, lastTry <-chan struct{}) *attempt {
-	for ctx.Err() == nil {
-		if next := t.askOther(ctx); next != nil {
-			return next
-		}
-		if !sleepUnless(ctx, lastTry) {
-			return nil
-		}
-	}
-	return nil
-}
-
-// askOther sends the request to another replica, if there is one and the retry budget allows it, and reads its complete response.
-func (t *requestTask) askOther(ctx context.Context) *attempt {
-	ranked := t.Tracker.Rank(t.Clock(), t.untriedReplicas())
-	if len(ranked) == 0 || !t.takeRetry(false) {
-		return nil
-	}
-	a := newAttempt(ctx, ranked[0], nil)
-	a.started = t.Clock()
-	t.markTried(a.replica.ID)
-	response, err := t.exchangeWhole(a.ctx, a.replica)
-	if err == nil && !response.failed {
-		a.reply = response
-		return a
-	}
-	if err != nil && notSent(err) {
-		t.RetryBudget.Return(t.request.Service)
-	}
-	t.outcomeUnknown = t.outcomeUnknown || err != nil && !notSent(err)
-	a.end(nil)
-	return nil
-}
-
-// sleepUnless waits for searchInterval, and returns false at once if ctx has ended or lastTry is closed.
-func sleepUnless(ctx context.Context, lastTry <-chan struct{}) bool {
-	t := time.NewTimer(searchInterval)
-	defer t.Stop()
-	select {
-	case <-lastTry:
-		return false
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
