Logs tell since when a VM knew of the configuration that it puts in force

`contract in force` now names the time since a peer first named the version, and since the state was last confirmed.

What a heartbeat asks for is decided by contract/watcher (ObservePeer) in place of vm/entry, so that a fleet of watchers can be played on synthetic time. The decision is as before.

--- a/contract/watcher/apply.go
+++ b/contract/watcher/apply.go
@@ -107,9 +107,7 @@
 		delete(next.Replicas, p.Name)
 		delete(w.missingSince, p.Name)
 	case p.Contract != nil:
-		if w.applyContract(next, p.Contract, p.Raw) {
-			w.Log("contract in force", "version", p.Contract.Version, "from", "platform")
-		}
+		w.applyContract(next, p.Contract, p.Raw, "platform")
 	case p.Replica != nil:
 		w.applyReplica(next, p)
 	case p.Adapter != nil:
@@ -144,14 +142,19 @@
 	next.Versions[model] = versions
 }
 
-// applyContract puts a contract in force if it is newer than the current one, and reports whether it did. The version in
-// force never decreases.
-func (w *Watcher) applyContract(next *fuchsiaspoke.PublishedState, c *fuchsiaspoke.Contract, raw []byte) bool {
+// applyContract puts a contract in force if it is newer than the current one. The version in force never decreases. The log tells how
+// long this VM knew that a peer has the version, and how old the state was that it replaces.
+func (w *Watcher) applyContract(next *fuchsiaspoke.PublishedState, c *fuchsiaspoke.Contract, raw []byte, from string) {
 	if next.Contract != nil && c.Version <= next.Contract.Version {
-		return false
+		return
+	}
+	var heard time.Duration
+	if w.newestPeerContract >= c.Version {
+		heard = w.Clock() - w.peerContractAt
 	}
+	w.Log("contract in force", "version", c.Version, "from", from, "heard_ms_ago", heard.Milliseconds(),
+		"confirmed_ms_ago", (w.Clock() - next.ReadAt).Milliseconds())
 	next.Contract, next.ContractRaw = c, raw
-	return true
 }
 
 // store puts next in force, as read from the platform now.
--- a/contract/watcher/relay.go
+++ b/contract/watcher/relay.go
@@ -109,8 +109,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next := *w.Published()
-	if c != nil && w.applyContract(&next, c, r.ContractRaw) {
-		w.Log("contract in force", "version", c.Version, "from", from)
+	if c != nil {
+		w.applyContract(&next, c, r.ContractRaw, from)
 	}
 	switch {
 	case !r.Revision.NewerThan(next.Revision):
--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -130,9 +130,12 @@
 	return ctx.Err()
 }
 
+// isReader reports whether this VM reads the platform for others.
+func (w *Watcher) isReader() bool { return w.IsReader == nil || w.IsReader() }
+
 // canSkipRead reports whether the platform need not be read now, as other VMs read it and this VM's state is up to date.
 func (w *Watcher) canSkipRead() bool {
-	return w.IsReader != nil && !w.Stale() && !w.isBehindPeers() && !w.IsReader()
+	return !w.Stale() && !w.isBehindPeers() && !w.isReader()
 }
 
 // ObserveMissedRevision records that a peer has a revision that could not be fetched from it; this VM then reads the platform
@@ -169,6 +172,26 @@
 	return p.Contract == nil || p.Contract.Version < w.newestPeerContract
 }
 
+// ObservePeer records what a peer's heartbeat says of the platform. It returns the query by which this VM should pull the peer's state;
+// false means that it needs none, as the state isn't newer or this VM is about to read it from the platform.
+func (w *Watcher) ObservePeer(s fuchsiaspoke.VMState) (fuchsiaspoke.PublicationQuery, bool) {
+	if s.Reading != nil {
+		w.ConfirmRevision(s.Revision, *s.Reading)
+	}
+	w.ObservePeerContract(s.ContractVersion)
+	p := w.Published()
+	query := fuchsiaspoke.PublicationQuery{Revision: p.Revision}
+	if p.Contract != nil {
+		query.ContractVersion = p.Contract.Version
+	}
+	if s.ContractVersion > query.ContractVersion {
+		// The contract is read from the platform, and pulled from a peer only if the platform fails or does not have it.
+		query.Contract = true
+		return query, w.Failing() || w.PlatformLacksContract()
+	}
+	return query, s.Revision.NewerThan(p.Revision) && (w.Stale() || !w.isReader())
+}
+
 // PlatformLacksContract reports whether the platform, read after a peer reported a newer contract, did not have that contract, as
 // when it was restored from an older backup.
 func (w *Watcher) PlatformLacksContract() bool {
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -121,8 +121,8 @@
 	return net.JoinHostPort(host, port)
 }
 
-// receiveHeartbeat applies a heartbeat of another VM, unless it arrives after a later one, and pulls that VM's published state if it is newer and this VM is not about
-// to read it from the platform itself.
+// receiveHeartbeat applies a heartbeat of another VM, unless it arrives after a later one, and pulls that VM's published state if it
+// is newer and this VM is not about to read it from the platform itself.
 func (e *Entry) receiveHeartbeat(s fuchsiaspoke.VMState) {
 	if s.VM.ID == e.VM.ID || e.membership.IsLate(s) {
 		return
@@ -136,19 +136,8 @@
 		e.watcher.MarkDraining(r, s.VM.ID)
 	}
 	e.observeRates(now, s)
-	p := e.watcher.Published()
-	if s.Reading != nil {
-		e.watcher.ConfirmRevision(s.Revision, *s.Reading)
-	}
-	e.watcher.ObservePeerContract(s.ContractVersion)
-	newerContract := s.ContractVersion > 0 && (p.Contract == nil || s.ContractVersion > p.Contract.Version)
-	shouldPull := s.Revision.NewerThan(p.Revision) && (e.watcher.Stale() || !e.isReader())
-	if newerContract {
-		// The contract is read from the platform, and pulled from a peer only if the platform fails or does not have it.
-		shouldPull = e.watcher.Failing() || e.watcher.PlatformLacksContract()
-	}
-	if shouldPull && e.pullRunning.CompareAndSwap(false, true) {
-		go e.pullPublished(s, newerContract)
+	if query, needed := e.watcher.ObservePeer(s); needed && e.pullRunning.CompareAndSwap(false, true) {
+		go e.pullPublished(s, query)
 	}
 }
 
@@ -209,18 +198,13 @@
 	return out
 }
 
-// pullPublished reads the published state from another VM, with the contract if withContract is set. It keeps VMs up to date
-// that do not read the platform or get no answer from it.
-func (e *Entry) pullPublished(s fuchsiaspoke.VMState, withContract bool) {
+// pullPublished reads what the query asks for from another VM. It keeps VMs up to date that do not read the platform or get no
+// answer from it.
+func (e *Entry) pullPublished(s fuchsiaspoke.VMState, query fuchsiaspoke.PublicationQuery) {
 	defer e.pullRunning.Store(false)
 	vm := s.VM
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
-	p := e.watcher.Published()
-	query := fuchsiaspoke.PublicationQuery{Revision: p.Revision, Contract: withContract}
-	if p.Contract != nil {
-		query.ContractVersion = p.Contract.Version
-	}
 	var relay fuchsiaspoke.PublicationRelay
 	err := e.dialer.Call(ctx, vm, methodPublished, query, func(raw cbor.RawMessage) error {
 		return cbor.Unmarshal(raw, &relay)
