A VM that knows of news, or may, does not ask the store to wait for it

Cause: a VM that reads for itself, since its state is stale or peers have a newer version, requested the wait of a reader (0.9 s where the limit is 3 s). Where the store is silent to this VM, the call so failed after 1.6 s, and only its failure makes the VM take the version from a peer. Class: waiting for what is already known to be there.

Change: such a call requests no wait, as one after a failure did before.

--- a/contract/watcher/fleet_test.go
+++ b/contract/watcher/fleet_test.go
@@ -184,7 +184,9 @@
 }
 
 // sleepUpTo sleeps for a random time.
-func (f *watcherFleet) sleepUpTo(limit time.Duration) { time.Sleep(time.Duration(f.rng.Int64N(int64(limit)))) }
+func (f *watcherFleet) sleepUpTo(limit time.Duration) {
+	time.Sleep(time.Duration(f.rng.Int64N(int64(limit))))
+}
 
 // The platform turns away all VMs that read for the others, and every other one of the rest, at any time before the change.
 func TestChangeIsInForceInTimeWhilePlatformTurnsVMsAway(t *testing.T) {
--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -238,11 +238,12 @@
 // reader returns the number by which other VMs know the reads of this one.
 func (w *Watcher) reader() uint16 { return max(w.Reader, 1) }
 
-// readOnce makes one call to the platform. After a failure the call requests no wait, so that one that is lost in an outage times
-// out soon after the outage ends.
+// readOnce makes one call to the platform. It requests no wait where it should be answered at once: after a failure, so that a call
+// that is lost in an outage times out soon after the outage ends, and where there is news, or may be, as peers have some or the state is
+// stale.
 func (w *Watcher) readOnce(ctx context.Context, relist bool, failures int) error {
 	wait, timeout := min(maxWatchWait, w.staleAge()/2), responseTimeout
-	if failures > 0 {
+	if failures > 0 || w.Stale() || w.isBehindPeers() {
 		wait = 0
 	}
 	if failures%slowResponseEvery == slowResponseEvery-1 {
