--- a/contract/watcher/fleet_test.go
+++ b/contract/watcher/fleet_test.go
@@ -31,19 +31,26 @@
 	*fakePlatform
 	// silent leaves calls without a response, and refusing fails them at once.
 	silent, refusing bool
+	// frozenUntil is the time until which the VM is suspended; its calls and the responses to it wait for that long.
+	frozenUntil time.Time
 }
 
+func (p *fleetPlatform) waitUntilAwake() { time.Sleep(time.Until(p.frozenUntil)) }
+
 func (p *fleetPlatform) List(ctx context.Context) (fuchsiaspoke.PublicationList, error) {
 	if err := p.turnAway(ctx); err != nil {
 		return fuchsiaspoke.PublicationList{}, err
 	}
+	defer p.waitUntilAwake()
 	return p.fakePlatform.List(ctx)
 }
 
 func (p *fleetPlatform) Watch(ctx context.Context, after int64, wait time.Duration) (fuchsiaspoke.PublicationList, error) {
+	p.waitUntilAwake()
 	if err := p.turnAway(ctx); err != nil {
 		return fuchsiaspoke.PublicationList{}, err
 	}
+	defer p.waitUntilAwake()
 	list, err := p.fakePlatform.Watch(ctx, after, wait)
 	if err := p.turnAway(ctx); err != nil {
 		return fuchsiaspoke.PublicationList{}, err
@@ -98,6 +105,7 @@
 // beat sends the heartbeats of a VM.
 func (f *watcherFleet) beat(ctx context.Context, n int, phase time.Duration) {
 	for time.Sleep(phase); ctx.Err() == nil; time.Sleep(fleetHeartbeatInterval) {
+		f.platforms[n].waitUntilAwake()
 		state := f.state(n)
 		for m := range f.watchers {
 			if m != n && f.exchange(n, m) {
@@ -128,6 +136,7 @@
 // receive delivers a heartbeat, and pulls from its sender what the receiver asks for.
 func (f *watcherFleet) receive(from, to int, state fuchsiaspoke.VMState) {
 	time.Sleep(fleetLinkDelay)
+	f.platforms[to].waitUntilAwake()
 	query, needed := f.watchers[to].ObservePeer(state)
 	if !needed {
 		return
@@ -146,6 +155,9 @@
 	f.platforms[n].silent, f.platforms[n].refusing = silent, !silent
 }
 
+// freeze suspends a VM.
+func (f *watcherFleet) freeze(n int, d time.Duration) { f.platforms[n].frozenUntil = time.Now().Add(d) }
+
 // requireInForce waits for the limit and fails the test if a VM does not have the contract version then.
 func (f *watcherFleet) requireInForce(t *testing.T, version int64, what string) {
 	t.Helper()
@@ -230,3 +242,22 @@
 		f.requireInForce(t, 3, fmt.Sprintf("turned away %t, silent %t", seed%2 == 0, seed%4 == 0))
 	})
 }
+
+// VMs that read the platform are suspended while its responses are on their way to them. When they go on, they have just read what may be
+// seconds old, and every other fleet's platform turns them away then.
+func TestChangeIsInForceInTimeWhileReadersAreSuspended(t *testing.T) {
+	playFleets(t, 400, func(t *testing.T, f *watcherFleet, seed uint64) {
+		time.Sleep(4 * time.Second)
+		for n := range fleetReaders {
+			f.sleepUpTo(300 * time.Millisecond)
+			suspended := time.Second + time.Duration(f.rng.Int64N(int64(2*time.Second)))
+			f.freeze(n, suspended)
+			if seed%2 == 0 {
+				time.AfterFunc(suspended-time.Millisecond, func() { f.turnAway(n, seed%4 == 0) })
+			}
+		}
+		f.sleepUpTo(2 * time.Second)
+		f.platform.publish(contractPublication(2))
+		f.requireInForce(t, 2, fmt.Sprintf("turned away %t, silent %t", seed%2 == 0, seed%4 == 0))
+	})
+}
