--- a/contract/watcher/confirm_test.go
+++ b/contract/watcher/confirm_test.go
@@ -116,3 +116,20 @@
 		}
 	}
 }
+
+// A VM was suspended while a heartbeat with a reading that no other VM tells again lay in its socket.
+func TestReadingInHeartbeatThatLayInASocketIsNotTakenForNew(t *testing.T) {
+	const suspended = 1500 * time.Millisecond
+	c := &circle{now: 5 * time.Second}
+	w := c.add(lastReading)
+	heartbeat := func(uptime time.Duration, number uint32) fuchsiaspoke.VMState {
+		r := fuchsiaspoke.Reading{Reader: 3, Number: number, AgeMs: 100}
+		return fuchsiaspoke.VMState{Incarnation: "peer", Uptime: uptime, Revision: revision(7), Reading: r.Report()}
+	}
+	w.ObservePeer(heartbeat(time.Second, 1))
+	c.now += time.Second + suspended
+	w.ObservePeer(heartbeat(2*time.Second, 2))
+	if !w.Stale() {
+		t.Errorf("state counts as %v old, its reading was made %v ago", c.now-w.Published().ReadAt, suspended+100*time.Millisecond)
+	}
+}
