A reading is as old as its heartbeat was on its way

Cause: heartbeats that lay in the socket of a suspended VM were taken for as new as at their sender, and told on. A younger report of the same reading puts that right only where somebody tells that reading again, which nobody does of a read that a VM made for itself.

Change: what a heartbeat takes longer than the fastest one of its sender's process, by the sender's uptime, is added to the reading's age. Only durations are compared; the fastest one may grow by 1 % of the time, as clocks' rates differ.

Evidence: TestReadingInHeartbeatThatLayInASocketIsNotTakenForNew failed before (100 ms instead of 1.6 s).

--- a/contract/watcher/watcher.go
+++ b/contract/watcher/watcher.go
@@ -79,6 +79,7 @@
 	// lastRead is the number of this VM's last successful read, and readings what is known of other VMs' reads.
 	lastRead     uint32
 	readings     readings
+	transit      transit
 	withdrawals  withdrawals
 	drainNotices drainNotices
 	// failing is whether the last call to the platform failed; recoveredAt is when the last outage ended.
@@ -175,8 +176,9 @@
 // ObservePeer records what a peer's heartbeat says of the platform. It returns the query by which this VM should pull the peer's state;
 // false means that it needs none, as the state isn't newer or this VM is about to read it from the platform.
 func (w *Watcher) ObservePeer(s fuchsiaspoke.VMState) (fuchsiaspoke.PublicationQuery, bool) {
+	delay := w.transitDelay(s)
 	if s.Reading != nil {
-		w.ConfirmRevision(s.Revision, *s.Reading)
+		w.ConfirmRevision(s.Revision, s.Reading.WithAge(s.Reading.Age()+delay))
 	}
 	w.ObservePeerContract(s.ContractVersion)
 	p := w.Published()
@@ -192,6 +194,12 @@
 	return query, s.Revision.NewerThan(p.Revision) && (w.Stale() || !w.isReader())
 }
 
+func (w *Watcher) transitDelay(s fuchsiaspoke.VMState) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.transit.delay(w.Clock(), s)
+}
+
 // PlatformLacksContract reports whether the platform, read after a peer reported a newer contract, did not have that contract, as
 // when it was restored from an older backup.
 func (w *Watcher) PlatformLacksContract() bool {
