--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -278,7 +279,17 @@
 		t.Transport.CloseIdle(r.Address)
 	}
 	t.Log("send failed", "request", t.request.ID, "replica", r.ID, "address", r.Address, "not_sent", notSent(err),
-		"caller_left", t.callerCtx.Err() != nil, "took_ms", (t.Clock() - started).Milliseconds(), "ended_by", t.endedBy(ctx), "error", err.Error())
+		"caller_left", t.callerCtx.Err() != nil, "took_ms", (t.Clock() - started).Milliseconds(), "ended_by", t.endedBy(ctx),
+		"shared_parts", sharedParts(t.request.Demand), "error", err.Error())
+}
+
+// sharedParts returns the ids of the prompt's parts that other requests may have in common with it: all but the last.
+func sharedParts(d fuchsiaspoke.Demand) string {
+	var ids []string
+	for _, part := range d.Parts[:max(len(d.Parts)-1, 0)] {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
 }
 
 // endedBy says who ended a failed attempt: this VM and why, or the replica with its connection.
