Parts of prompts on which engines crash are no longer sent

Cause: nothing related the end of an engine to what the requests there have in common. A failure counted against the replica, and the request was sent to the next one. Class: a fault of the work taken for a fault of the worker (query of death). Each VM sees a seventh of the requests.

Change: upstream/quarantiner. An engine whose connections end before a request begins, and which refuses connections then, has crashed; that accuses the shared parts of that request. A part with which a request begins, at any VM, is cleared. VMs tell accusations, clearings and quarantines in heartbeats. A part that three crashes, 0.2 s apart, accuse and nothing clears is refused at all VMs: before admission and again before the send, as prompt_part_quarantined, not run. Of parts in the same crashes the one in the fewest requests is taken, and what it explains accuses no other. A request with a part that two crashes accuse is not repeated. After 5 min, twice as long each time, one VM tries it.

Ruled out: counting at each VM alone (five crashes are all that may happen, at seven VMs); a limit on crashes by account or by first part, which hits sound requests.

--- /dev/null
+++ b/prompt_evidence.go
@@ -0,0 +1,59 @@
+package fuchsiaspoke
+
+import (
+	"math"
+	"time"
+)
+
+// PromptEvidence is what a VM tells others of parts of prompts on which engines may crash, a part of it in each heartbeat. Parts and processes
+// are named by hashes.
+type PromptEvidence struct {
+	_ struct{} `cbor:",toarray"`
+	// Accusations are parts that were at an engine as it crashed, Cleared such parts with which a request began, and Quarantined those that
+	// are not sent.
+	Accusations []Accusation
+	Cleared     []ClearedPart
+	Quarantined []QuarantinedPart
+}
+
+// Accusation is a part of a request that was at an engine as its process ended.
+type Accusation struct {
+	_       struct{} `cbor:",toarray"`
+	Process uint64
+	Part    uint64
+	// Index is the part's place in the prompt.
+	Index uint8
+	// AgeMs is the time in milliseconds since the end of the process.
+	AgeMs uint32
+}
+
+// ClearedPart is a part with which a request began to be answered.
+type ClearedPart struct {
+	_    struct{} `cbor:",toarray"`
+	Part uint64
+	// AgeMs is the time in milliseconds since then.
+	AgeMs uint32
+}
+
+// QuarantinedPart is a part that is not sent to engines.
+type QuarantinedPart struct {
+	_    struct{} `cbor:",toarray"`
+	Part uint64
+	// AgeMs is the time in milliseconds since the quarantine began, LeftMs that until its end; Round counts the part's quarantines.
+	AgeMs  uint32
+	LeftMs uint32
+	Round  uint8
+}
+
+// Report returns the evidence for a message in which none takes no space; nil if there is none.
+func (e PromptEvidence) Report() *PromptEvidence {
+	if len(e.Accusations)+len(e.Cleared)+len(e.Quarantined) == 0 {
+		return nil
+	}
+	return &e
+}
+
+// Milliseconds returns a duration for a message, from 0 to the largest number that it holds.
+func Milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d/time.Millisecond, 0), math.MaxUint32))
+}
--- a/refusal.go
+++ b/refusal.go
@@ -42,6 +42,7 @@
 	CodeAdapterLoadFailed   RefusalCode = "adapter_load_failed"
 	CodeProfileVersionMoved RefusalCode = "profile_version_moved"
 	CodeNotResumable        RefusalCode = "stream_not_resumable"
+	CodeQuarantined         RefusalCode = "prompt_part_quarantined"
 )
 
 // Refusal is an error response that this system, not the upstream, gives to a caller.
--- /dev/null
+++ b/upstream/quarantiner/evidence.go
@@ -0,0 +1,147 @@
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// partName returns the number of a part as logs name it.
+func partName(part uint64) string { return strconv.FormatUint(part, 16) }
+
+// crashesOf returns the times of the crashes that accuse a part, in order: those that no part in quarantine explains, before which no
+// request with the part began for clearedFor, and since which none did.
+func (q *Quarantiner) crashesOf(part uint64) []time.Duration {
+	var out []time.Duration
+	begun, cleared := q.begins[part]
+	for _, c := range q.crashes {
+		if _, accused := c.accused[part]; !accused || q.isExplained(c) {
+			continue
+		}
+		if !cleared || begun.at+clearedFor < c.at {
+			out = append(out, c.at)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// isExplained reports whether a part in quarantine was at the engine that crashed.
+func (q *Quarantiner) isExplained(c *crash) bool {
+	for part := range c.accused {
+		if q.quarantines[part] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// distinct returns the number of times that are crashSpacing apart.
+func distinct(times []time.Duration) int {
+	n, last := 0, -crashSpacing
+	for _, at := range times {
+		if at-last >= crashSpacing {
+			n, last = n+1, at
+		}
+	}
+	return n
+}
+
+// suspect is a part that enough crashes accuse, the last of them some time ago.
+type suspect struct {
+	part    uint64
+	crashes int
+	settled time.Duration
+	// requests is the number of requests with the part that this VM knows of. Of parts that are in the same crashes, the one with the
+	// fewest is the cause: sound requests have the others in common with it.
+	requests int
+	// index is the part's place in the prompt. Where nothing else tells two parts apart, sound requests rather have the earlier one.
+	index uint8
+}
+
+// likelier orders suspects, the likeliest first.
+func likelier(a, b suspect) int {
+	return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.requests, b.requests), cmp.Compare(b.index, a.index), cmp.Compare(a.part, b.part))
+}
+
+// evaluate puts the parts in quarantine that explain the crashes, the likeliest first.
+func (q *Quarantiner) evaluate() {
+	for len(q.quarantines) < maxQuarantined {
+		suspects := q.suspects()
+		if len(suspects) == 0 {
+			return
+		}
+		slices.SortFunc(suspects, likelier)
+		first := suspects[0]
+		ambiguous := len(suspects) > 1 && suspects[1].crashes == first.crashes && suspects[1].requests == first.requests
+		if ambiguous && first.settled < ambiguityTime {
+			return
+		}
+		q.Log("prompt part suspected", "part", partName(first.part), "crashes", first.crashes, "requests", first.requests, "suspects", len(suspects))
+		q.hold(first.part, q.Clock(), 1)
+	}
+}
+
+// suspects returns the parts that minCrashes accuse, the last of them settleTime ago.
+func (q *Quarantiner) suspects() []suspect {
+	now := q.Clock()
+	accused := make(map[uint64]accusation)
+	for _, c := range q.crashes {
+		if now-c.at > crashRetention || q.isExplained(c) {
+			continue
+		}
+		for part, a := range c.accused {
+			a.requests += accused[part].requests
+			accused[part] = a
+		}
+	}
+	var out []suspect
+	for part, a := range accused {
+		times := q.crashesOf(part)
+		n := distinct(times)
+		if n < minCrashes {
+			continue
+		}
+		if settled := now - nth(times, minCrashes); settled >= settleTime {
+			out = append(out, suspect{part, n, settled, a.requests + q.begins[part].count, a.index})
+		}
+	}
+	return out
+}
+
+// nth returns the time of the crash with which there are n distinct ones.
+func nth(times []time.Duration, n int) time.Duration {
+	for i := range times {
+		if distinct(times[:i+1]) >= n {
+			return times[i]
+		}
+	}
+	return times[len(times)-1]
+}
+
+// hold puts a part in quarantine, for the round-th time.
+func (q *Quarantiner) hold(part uint64, since time.Duration, round int) {
+	q.addQuarantine(part, quarantine{since: since, until: since + lengthOf(round), round: round})
+	q.Count("prompt_part_quarantined")
+	q.Log("prompt part in quarantine", "part", partName(part), "round", round, "for_ms", lengthOf(round).Milliseconds(), "from", q.Self)
+}
+
+// addQuarantine adds a quarantine, and forgets those that nobody has asked about for long after their end.
+func (q *Quarantiner) addQuarantine(part uint64, held quarantine) {
+	maps.DeleteFunc(q.quarantines, func(_ uint64, old *quarantine) bool { return q.Clock()-old.until > maxQuarantineTime })
+	if q.quarantines == nil {
+		q.quarantines = make(map[uint64]*quarantine)
+	}
+	q.quarantines[part] = &held
+}
+
+// lengthOf returns the length of a quarantine.
+func lengthOf(round int) time.Duration {
+	d := quarantineTime
+	for ; round > 1 && d < maxQuarantineTime; round-- {
+		d *= 2
+	}
+	return min(d, maxQuarantineTime)
+}
--- a/upstream/transport/transport.go
+++ b/upstream/transport/transport.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -17,6 +18,8 @@
 const (
 	// dialTimeout bounds the opening of a connection; a replica on the same network accepts within milliseconds.
 	dialTimeout = 700 * time.Millisecond
+	// refusalTimeout bounds IsRefused: a connection that is not refused by then is not refused at all.
+	refusalTimeout = 300 * time.Millisecond
 	// maxIdlePerReplica bounds the number of idle connections to one address.
 	maxIdlePerReplica = 16
 	// defaultIdleLifetime is how long a connection may stay idle if the replica sends no Keep-Alive timeout.
@@ -60,6 +63,19 @@
 	return r, nil
 }
 
+// IsRefused reports whether connections to an address are refused, as nothing listens there any more.
+func (t *Transport) IsRefused(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close()
+	return false
+}
+
 // CloseIdle closes the idle connections to an address.
 func (t *Transport) CloseIdle(address string) {
 	t.mu.Lock()
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/controller"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/finder"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/permitter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/quarantiner"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
@@ -101,6 +102,7 @@
 	exchanger      exchanger.Exchanger
 	tracker        tracker.Tracker
 	permitter      *permitter.Permitter
+	quarantiner    *quarantiner.Quarantiner
 	transport      transport.Transport
 	requester      *requester.Requester
 	finder         *finder.Finder
@@ -206,6 +208,9 @@
 		Published: e.watcher.Published, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
 		MarkDraining: func(i fuchsiaspoke.ReplicaIncarnation) { e.watcher.MarkDraining(i, e.VM.ID) },
 	}
+	e.quarantiner = &quarantiner.Quarantiner{
+		Self: e.VM.ID, Clock: e.timer.Now, VMs: e.fleetSize, Log: e.Log, Count: e.CountEvent,
+	}
 	e.requester = &requester.Requester{Peers: &e.membership, Dialer: e.dialer, Clock: e.timer.Now, Self: e.VM}
 	e.finder = &finder.Finder{
 		Published: e.watcher.Published, Requester: e.requester, Tracker: &e.tracker, Clock: e.timer.Now, Dialer: e.dialer,
@@ -219,7 +224,8 @@
 	}
 	e.sender = &sender.Sender{
 		Published: e.watcher.Published, Transport: &e.transport, Protocol: e.Platform.Replicas, Requester: e.requester,
-		Finder: e.finder, Origins: e.registrar, Tracker: &e.tracker, Permitter: e.permitter, RetryBudget: &e.retryLimiters, Clock: e.timer.Now,
+		Finder: e.finder, Origins: e.registrar, Tracker: &e.tracker, Permitter: e.permitter,
+		Quarantiner: e.quarantiner, RetryBudget: &e.retryLimiters, Clock: e.timer.Now,
 		Log: e.Log, Observe: e.Observe, ObserveBodyEnd: e.ObserveBodyEnd,
 		Count: e.CountEvent, TimeUntilOwned: e.timeUntilOwned,
 	}
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -85,7 +85,7 @@
 		Draining:       e.Leaving(),
 		AdmittedTokens: admittedTokens, BucketLevels: bucketLevels, Acks: acks, RateShare: rateShare,
 		Revision: p.Revision, Reading: p.Reading.WithAge(now - p.ReadAt).Report(), Engines: e.requester.Views(),
-		DrainingReplicas: e.drainingReplicas(number),
+		DrainingReplicas: e.drainingReplicas(number), Evidence: e.quarantiner.Report().Report(),
 	}
 	if p.Contract != nil {
 		s.ContractVersion = p.Contract.Version
@@ -135,6 +135,9 @@
 	for _, r := range s.DrainingReplicas {
 		e.watcher.MarkDraining(r, s.VM.ID)
 	}
+	if s.Evidence != nil {
+		e.quarantiner.Merge(*s.Evidence, s.VM.ID)
+	}
 	e.observeRates(now, s)
 	if query, needed := e.watcher.ObservePeer(s); needed && e.pullRunning.CompareAndSwap(false, true) {
 		go e.pullPublished(s, query)
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -45,6 +45,10 @@
 			if refusal != nil {
 				return t.interruptedIfStarted(relay, refusal)
 			}
+			if refusal := t.refuseIfQuarantined(); refusal != nil {
+				admission.Release()
+				return t.interruptedIfStarted(relay, refusal)
+			}
 			a = newAttempt(ctx, replica, admission)
 		}
 		outcome, next := t.runAttempt(ctx, a, relay)
@@ -59,7 +63,8 @@
 			t.discard(next)
 			return t.resultAfterLastAttempt(ctx, relay, outcome)
 		}
-		if next == nil && !outcome.notSent && (!relay.mayGoOn(t.request.Route) || !t.takeRetry(outcome.notRun)) {
+		mayRepeat := outcome.notRun || relay.headSent.Load() || t.mayRepeat()
+		if next == nil && !outcome.notSent && (!relay.mayGoOn(t.request.Route) || !mayRepeat || !t.takeRetry(outcome.notRun)) {
 			return t.resultAfterLastAttempt(ctx, relay, outcome)
 		}
 		a = next
@@ -147,6 +152,7 @@
 	})
 	if err != nil {
 		t.recordSendFailure(a.ctx, a.replica, a.started, err)
+		t.recordCrash(a, err)
 		return &outcome{err: err, notSent: notSent(err), done: t.callerCtx.Err() != nil}
 	}
 	info := t.interpretHead(a.replica, response)
@@ -216,6 +222,7 @@
 			return true
 		}
 		first = false
+		t.Quarantiner.RecordBegin(t.request.Demand)
 		a.admission.Progress(false)
 		firstEventTime = t.Clock() - a.started
 		t.Observe(a.admission.Wait, firstEventTime)
@@ -240,5 +247,8 @@
 	}
 	t.recordBodyEnd(a.replica, a.response.Framing(), bodyEnd(err))
 	t.recordSendFailure(a.ctx, a.replica, a.started, &fuchsiaspoke.SendError{Peer: a.replica.Address, Step: "read stream", Cause: err})
+	if first {
+		t.recordCrash(a, err)
+	}
 	return outcome{err: err, final: errors.Is(err, errTooManyEvents)}
 }
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -15,6 +15,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/permitter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/quarantiner"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/selector"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
@@ -100,6 +101,7 @@
 	Origins     origins
 	Tracker     *tracker.Tracker
 	Permitter   *permitter.Permitter
+	Quarantiner *quarantiner.Quarantiner
 	RetryBudget retryBudget
 	Clock       func() time.Duration
 	Log         func(event string, keysAndValues ...any)
@@ -124,6 +126,9 @@
 	if refusal := t.findOrigin(inner); refusal != nil {
 		return refusal
 	}
+	if refusal := t.admitPrompt(); refusal != nil {
+		return refusal
+	}
 	s.RetryBudget.Add(t.request.Service)
 	if req.Demand.Model != "" && s.isEngineService(t.request.Service) {
 		return t.serveGeneration(inner)
@@ -161,6 +166,8 @@
 	executed bool
 	// resumed is where the stream stands that the caller resumes; nil if it begins.
 	resumed *streamPosition
+	// trial means that the request is sent although a part of its prompt is in quarantine.
+	trial bool
 }
 
 // retryable reports whether the request may be sent again after a replica may have run it.
--- a/vm/sender/sender_test.go
+++ b/vm/sender/sender_test.go
@@ -10,6 +10,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/finder"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/permitter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/quarantiner"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
@@ -51,6 +52,11 @@
 	}
 }
 
+// newQuarantiner returns a quarantiner of a VM without peers.
+func newQuarantiner(s *sender.Sender) *quarantiner.Quarantiner {
+	return &quarantiner.Quarantiner{Clock: s.Clock, VMs: func() int { return 1 }, Log: s.Log, Count: func(string) {}}
+}
+
 // After a restart of all VMs no engine has an owner for some seconds. A caller that retries before engines have owners is
 // refused again, and does not retry a second time.
 func TestRetryAfterCoversTimeUntilEnginesAreOwned(t *testing.T) {
@@ -68,7 +74,7 @@
 		Tracker:   &tracker.Tracker{}, RetryBudget: unlimitedBudget{}, Clock: clock, Log: func(string, ...any) {}, Count: func(string) {},
 		TimeUntilOwned: func() time.Duration { return ownedIn },
 	}
-	s.Finder, s.Permitter = newFinder(s), newPermitter(s)
+	s.Finder, s.Permitter, s.Quarantiner = newFinder(s), newPermitter(s), newQuarantiner(s)
 	req := fuchsiaspoke.AdmittedRequest{
 		ID: "r", Service: "texts", Deadline: 9 * time.Second, Route: fuchsiaspoke.ServiceRoute{Timeout: 8 * time.Second, MaxAttempts: 2},
 		Demand: fuchsiaspoke.Demand{Model: "m", Adapter: "a", PromptTokens: 100},
@@ -124,7 +130,7 @@
 		Count:          func(string) {},
 		TimeUntilOwned: func() time.Duration { return 0 },
 	}
-	s.Finder, s.Permitter = newFinder(s), newPermitter(s)
+	s.Finder, s.Permitter, s.Quarantiner = newFinder(s), newPermitter(s), newQuarantiner(s)
 	req := fuchsiaspoke.AdmittedRequest{
 		ID: "r", Service: "texts", Deadline: 9 * time.Second, Route: fuchsiaspoke.ServiceRoute{Timeout: 8 * time.Second, MaxAttempts: 2},
 		Demand: fuchsiaspoke.Demand{Model: "m", Adapter: "a", PromptTokens: 100},
--- a/vm/sender/takeover.go
+++ b/vm/sender/takeover.go
@@ -26,7 +26,7 @@
 // response: an engine that has sent its head alone may still turn out to be silent itself.
 func (t *requestTask) resumeAtOther(ctx context.Context, r *streamRelay) *attempt {
 	position := r.position.Load()
-	if !r.mayGoOn(t.request.Route) || !t.takeRetry(false) {
+	if !r.mayGoOn(t.request.Route) || !r.headSent.Load() && !t.mayRepeat() || !t.takeRetry(false) {
 		return nil
 	}
 	admission, replica, refusal := t.acquireAdmission(ctx, position)
@@ -46,6 +46,7 @@
 	}
 	if err := a.awaitData(); err != nil {
 		t.recordSendFailure(ctx, replica, a.started, &fuchsiaspoke.SendError{Peer: replica.Address, Step: "read first event", Cause: err})
+		t.recordCrash(a, err)
 		a.end(nil)
 		return nil
 	}
--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -110,7 +110,7 @@
 		Observe: func(_, _ time.Duration) {}, ObserveBodyEnd: func(fuchsiaspoke.Framing, fuchsiaspoke.BodyEnd) {},
 		Count: func(string) {}, TimeUntilOwned: func() time.Duration { return 0 },
 	}
-	f.Permitter = newPermitter(f.Sender)
+	f.Permitter, f.Quarantiner = newPermitter(f.Sender), newQuarantiner(f.Sender)
 	t.Cleanup(f.Transport.Close)
 	return f
 }
