--- a/upstream/quarantiner/fleet_test.go
+++ b/upstream/quarantiner/fleet_test.go
@@ -37,6 +37,8 @@
 	// soundPerSecond and fatalPerSecond are rates of requests, fatalFirst means that the fatal part is the first one.
 	soundPerSecond, fatalPerSecond float64
 	fatalFirst                     bool
+	// fatalLast means that the same request comes again and again, whose parts but for the last are sound.
+	fatalLast bool
 	// otherCrashes are crashes a second of other causes, and massCrash the number of engines that end at once after 5 s.
 	otherCrashes float64
 	massCrash    int
@@ -137,7 +139,13 @@
 	if f.fatalFirst {
 		parts = []string{fatal, fmt.Sprint("second", f.rng.IntN(soundSecond))}
 	}
+	if f.fatalLast {
+		parts = []string{"first0", "second0"}
+	}
 	r := f.newRequest(parts...)
+	if f.fatalLast {
+		r.demand.Parts[len(r.demand.Parts)-1].ID = fatal
+	}
 	r.fatal = true
 	return r
 }
@@ -274,6 +282,7 @@
 	for name, change := range map[string]func(s scenario) scenario{
 		"second part":               func(s scenario) scenario { return s },
 		"first part":                func(s scenario) scenario { s.fatalFirst = true; return s },
+		"same request":              func(s scenario) scenario { s.fatalLast = true; return s },
 		"rare":                      func(s scenario) scenario { s.fatalPerSecond, s.duration = 0.4, 90*time.Second; return s },
 		"often":                     func(s scenario) scenario { s.fatalPerSecond *= 8; return s },
 		"few sound requests":        func(s scenario) scenario { s.soundPerSecond = 2; return s },
