The last part of a prompt may be the one on which engines crash

Cause: only parts that requests have in common were accused. Now all are; a last part that is used once has one crash.

--- a/upstream/quarantiner/quarantiner.go
+++ b/upstream/quarantiner/quarantiner.go
@@ -1,7 +1,7 @@
 // Package quarantiner decides which parts of prompts are no longer sent to engines, as engines crash on them.
 //
-// A crash accuses the shared parts of all requests that were at the engine and had not begun to be answered. A part is cleared by a request
-// with it that begins. The part that is in several crashes, one after the other, and never cleared is put in quarantine at all VMs.
+// A crash accuses the parts of all requests that were at the engine and had not begun to be answered, the last part as well: one request may
+// come again and again. A part is cleared by a request with it that begins. The part that is in several crashes, one after the other, and never cleared is put in quarantine at all VMs.
 package quarantiner
 
 import (
@@ -100,17 +100,12 @@
 // hash returns the number by which VMs name a part or a process.
 func hash(id string) uint64 { return xxhash.Sum64String(id) }
 
-// sharedParts returns the parts of a prompt that other requests may have in common with it: all but the last.
-func sharedParts(d fuchsiaspoke.Demand) []fuchsiaspoke.PromptPart {
-	return d.Parts[:max(len(d.Parts)-1, 0)]
-}
-
 // RecordBegin records that a request has begun to be answered, which clears the parts of its prompt.
 func (q *Quarantiner) RecordBegin(d fuchsiaspoke.Demand) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.Clock()
-	for _, part := range sharedParts(d) {
+	for _, part := range d.Parts {
 		q.clear(hash(part.ID), now, 1)
 	}
 }
@@ -147,7 +142,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	process := hash(engine.ID + "/" + strconv.FormatInt(engine.StartedAtMs, 10))
-	for i, part := range sharedParts(d) {
+	for i, part := range d.Parts {
 		q.accuse(process, q.Clock(), hash(part.ID), uint8(min(i, math.MaxUint8)), 1)
 	}
 	q.evaluate()
@@ -216,7 +211,7 @@
 	defer q.mu.Unlock()
 	q.evaluate()
 	verdict := Verdict{}
-	for _, p := range sharedParts(d) {
+	for _, p := range d.Parts {
 		held := q.quarantines[hash(p.ID)]
 		switch wait := q.untilTrial(held, hash(p.ID)); {
 		case held == nil:
@@ -238,7 +233,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.evaluate()
-	for _, p := range sharedParts(d) {
+	for _, p := range d.Parts {
 		if held := q.quarantines[hash(p.ID)]; held != nil {
 			return p.ID, max(q.untilTrial(held, hash(p.ID)), 0)
 		}
@@ -271,7 +266,7 @@
 func (q *Quarantiner) Suspected(d fuchsiaspoke.Demand) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, p := range sharedParts(d) {
+	for _, p := range d.Parts {
 		if q.quarantines[hash(p.ID)] != nil || distinct(q.crashesOf(hash(p.ID))) >= minCrashes-1 {
 			return true
 		}
--- a/vm/sender/quarantine.go
+++ b/vm/sender/quarantine.go
@@ -43,7 +43,7 @@
 	if notSent(err) || a.ctx.Err() != nil || !t.Transport.IsRefused(a.ctx, a.replica.Address) {
 		return
 	}
-	t.Log("engine crashed before the first event", "request", t.request.ID, "engine", a.replica.ID, "shared_parts", sharedParts(t.request.Demand))
+	t.Log("engine crashed before the first event", "request", t.request.ID, "engine", a.replica.ID, "parts", partIDs(t.request.Demand))
 	t.Quarantiner.RecordCrash(a.replica.Incarnation(), t.request.Demand)
 }
 
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -287,13 +287,13 @@
 	}
 	t.Log("send failed", "request", t.request.ID, "replica", r.ID, "address", r.Address, "not_sent", notSent(err),
 		"caller_left", t.callerCtx.Err() != nil, "took_ms", (t.Clock() - started).Milliseconds(), "ended_by", t.endedBy(ctx),
-		"shared_parts", sharedParts(t.request.Demand), "error", err.Error())
+		"parts", partIDs(t.request.Demand), "error", err.Error())
 }
 
-// sharedParts returns the ids of the prompt's parts that other requests may have in common with it: all but the last.
-func sharedParts(d fuchsiaspoke.Demand) string {
-	var ids []string
-	for _, part := range d.Parts[:max(len(d.Parts)-1, 0)] {
+// partIDs returns the ids of the prompt's parts.
+func partIDs(d fuchsiaspoke.Demand) string {
+	ids := make([]string, 0, len(d.Parts))
+	for _, part := range d.Parts {
 		ids = append(ids, part.ID)
 	}
 	return strings.Join(ids, ",")
