Evidence of a crash is told as a whole, and weighed once it has arrived everywhere

Cause: after a quarantine its VM told no accusation against the part any more, so that another VM knew a crash without the part that explains it, and put the first part of sound prompts in quarantine.

Change: a report names a crash with its parts, and a large fleet waits 1.2 s before it decides. Evidence is kept until it changes.

--- a/prompt_evidence.go
+++ b/prompt_evidence.go
@@ -9,22 +9,29 @@
 // are named by hashes.
 type PromptEvidence struct {
 	_ struct{} `cbor:",toarray"`
-	// Accusations are parts that were at an engine as it crashed, Cleared such parts with which a request began, and Quarantined those that
-	// are not sent.
-	Accusations []Accusation
+	// Crashes are ends of processes of engines, Cleared parts that were there and with which a request began, and Quarantined those that are
+	// not sent.
+	Crashes     []CrashReport
 	Cleared     []ClearedPart
 	Quarantined []QuarantinedPart
 }
 
-// Accusation is a part of a request that was at an engine as its process ended.
-type Accusation struct {
+// CrashReport is the end of a process of an engine.
+type CrashReport struct {
 	_       struct{} `cbor:",toarray"`
 	Process uint64
-	Part    uint64
+	// AgeMs is the time in milliseconds since then.
+	AgeMs uint32
+	// Accused are parts of requests that were there and had not begun to be answered.
+	Accused []AccusedPart
+}
+
+// AccusedPart is a part that was at an engine as its process ended.
+type AccusedPart struct {
+	_    struct{} `cbor:",toarray"`
+	Part uint64
 	// Index is the part's place in the prompt.
 	Index uint8
-	// AgeMs is the time in milliseconds since the end of the process.
-	AgeMs uint32
 }
 
 // ClearedPart is a part with which a request began to be answered.
@@ -47,7 +54,7 @@
 
 // Report returns the evidence for a message in which none takes no space; nil if there is none.
 func (e PromptEvidence) Report() *PromptEvidence {
-	if len(e.Accusations)+len(e.Cleared)+len(e.Quarantined) == 0 {
+	if len(e.Crashes)+len(e.Cleared)+len(e.Quarantined) == 0 {
 		return nil
 	}
 	return &e
--- a/upstream/quarantiner/evidence.go
+++ b/upstream/quarantiner/evidence.go
@@ -11,25 +11,43 @@
 // partName returns the number of a part as logs name it.
 func partName(part uint64) string { return strconv.FormatUint(part, 16) }
 
-// crashesOf returns the times of the crashes that accuse a part, in order: those that no part in quarantine explains, before which no
-// request with the part began for clearedFor, and since which none did.
-func (q *Quarantiner) crashesOf(part uint64) []time.Duration {
-	var out []time.Duration
-	begun, cleared := q.begins[part]
+// accused is the evidence against a part: the times of the crashes that accuse it, in order, and its requests there.
+type accused struct {
+	times    []time.Duration
+	requests int
+	index    uint8
+}
+
+// evidence returns the evidence against each part that no request has cleared: of crashes that no part in quarantine explains, and before
+// which no request with the part began for clearedFor.
+func (q *Quarantiner) evidence() map[uint64]accused {
+	if q.known != nil {
+		return q.known
+	}
+	q.known = make(map[uint64]accused)
 	for _, c := range q.crashes {
-		if _, accused := c.accused[part]; !accused || q.isExplained(c) {
+		if q.isExplained(c) {
 			continue
 		}
-		if !cleared || begun.at+clearedFor < c.at {
-			out = append(out, c.at)
+		for part, a := range c.accused {
+			if begun, cleared := q.begins[part]; cleared && begun.at+clearedFor >= c.at {
+				continue
+			}
+			known := q.known[part]
+			q.known[part] = accused{append(known.times, c.at), known.requests + a.requests, a.index}
 		}
 	}
-	slices.Sort(out)
-	return out
+	for _, a := range q.known {
+		slices.Sort(a.times)
+	}
+	return q.known
 }
 
 // isExplained reports whether a part in quarantine was at the engine that crashed.
 func (q *Quarantiner) isExplained(c *crash) bool {
+	if len(q.quarantines) == 0 {
+		return false
+	}
 	for part := range c.accused {
 		if q.quarantines[part] != nil {
 			return true
@@ -84,33 +102,32 @@
 	}
 }
 
-// suspects returns the parts that minCrashes accuse, the last of them settleTime ago.
+// suspects returns the parts that minCrashes accuse, the last of them some time ago.
 func (q *Quarantiner) suspects() []suspect {
-	now := q.Clock()
-	accused := make(map[uint64]accusation)
-	for _, c := range q.crashes {
-		if now-c.at > crashRetention || q.isExplained(c) {
-			continue
-		}
-		for part, a := range c.accused {
-			a.requests += accused[part].requests
-			accused[part] = a
-		}
+	if len(q.crashes) < minCrashes {
+		return nil
 	}
+	now := q.Clock()
 	var out []suspect
-	for part, a := range accused {
-		times := q.crashesOf(part)
-		n := distinct(times)
+	for part, a := range q.evidence() {
+		n := distinct(a.times)
 		if n < minCrashes {
 			continue
 		}
-		if settled := now - nth(times, minCrashes); settled >= settleTime {
+		if settled := now - nth(a.times, minCrashes); settled >= q.settleTime() {
 			out = append(out, suspect{part, n, settled, a.requests + q.begins[part].count, a.index})
 		}
 	}
 	return out
 }
 
+func (q *Quarantiner) settleTime() time.Duration {
+	if q.VMs() > smallFleetSize {
+		return settleTimeLarge
+	}
+	return settleTimeSmall
+}
+
 // nth returns the time of the crash with which there are n distinct ones.
 func nth(times []time.Duration, n int) time.Duration {
 	for i := range times {
@@ -135,6 +152,7 @@
 		q.quarantines = make(map[uint64]*quarantine)
 	}
 	q.quarantines[part] = &held
+	q.known = nil
 }
 
 // lengthOf returns the length of a quarantine.
--- a/upstream/quarantiner/quarantiner.go
+++ b/upstream/quarantiner/quarantiner.go
@@ -22,10 +22,12 @@
 	crashSpacing = 200 * time.Millisecond
 	// clearedFor is how long after a request with a part began crashes don't accuse that part.
 	clearedFor = 10 * time.Second
-	// settleTime is the time after these crashes for what other VMs know of the part to arrive, and ambiguityTime that for a sound request to
-	// begin where another part has been in the same requests.
-	settleTime    = 500 * time.Millisecond
-	ambiguityTime = 2 * time.Second
+	// settleTimeSmall is the time after these crashes for what other VMs know of the part to arrive: in a small fleet each tells each, in a large
+	// one the news takes three heartbeats. ambiguityTime is that for a sound request to begin where another part has been in the same requests.
+	settleTimeSmall = 500 * time.Millisecond
+	settleTimeLarge = 1200 * time.Millisecond
+	smallFleetSize  = 12
+	ambiguityTime   = 2 * time.Second
 	// crashRetention is how long a crash is remembered, and beginRetention how long it is that a request with a part began.
 	crashRetention = 2 * time.Minute
 	beginRetention = time.Minute
@@ -61,6 +63,8 @@
 	begins      map[uint64]begin
 	crashes     map[uint64]*crash
 	quarantines map[uint64]*quarantine
+	// known is the result of evidence, nil after a change.
+	known map[uint64]accused
 	// contested holds the parts that began here although a peer has them in quarantine.
 	contested map[uint64]bool
 	// reported counts the reports that were composed, so that they name all entries in turn.
@@ -117,11 +121,15 @@
 	}
 	b := q.begins[part]
 	q.begins[part] = begin{at: max(b.at, at), count: b.count + count}
+	if _, accused := q.known[part]; accused {
+		q.known = nil
+	}
 	if len(q.begins) > maxParts {
 		q.forgetBegins()
 	}
 	if held := q.quarantines[part]; held != nil && at+clearedFor > held.since {
 		delete(q.quarantines, part)
+		q.known = nil
 		q.Count("prompt_part_cleared")
 		q.Log("prompt part cleared", "part", partName(part), "held_ms", (q.Clock() - held.since).Milliseconds(), "round", held.round)
 	}
@@ -157,12 +165,18 @@
 	if c == nil {
 		return
 	}
-	c.at = min(c.at, at)
+	if at < c.at {
+		c.at, q.known = at, nil
+	}
 	known, seen := c.accused[part]
 	if !seen && len(c.accused) >= maxAccused && !q.makeRoom(c) {
 		return
 	}
+	if seen && requests == 0 {
+		return
+	}
 	c.accused[part] = accusation{requests: max(known.requests+requests, 1), index: index}
+	q.known = nil
 	if held := q.quarantines[part]; held != nil && at > held.until-trialTime && at > held.since+lengthOf(held.round) {
 		q.hold(part, at, held.round+1)
 	}
@@ -174,6 +188,7 @@
 		return c
 	}
 	maps.DeleteFunc(q.crashes, func(_ uint64, c *crash) bool { return q.Clock()-c.at > crashRetention })
+	q.known = nil
 	if len(q.crashes) >= maxCrashes {
 		return nil
 	}
@@ -188,8 +203,9 @@
 // makeRoom removes a part that no other crash accuses.
 func (q *Quarantiner) makeRoom(c *crash) bool {
 	for part := range c.accused {
-		if len(q.crashesOf(part)) == 1 {
+		if len(q.evidence()[part].times) <= 1 {
 			delete(c.accused, part)
+			q.known = nil
 			return true
 		}
 	}
@@ -267,7 +283,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, p := range d.Parts {
-		if q.quarantines[hash(p.ID)] != nil || distinct(q.crashesOf(hash(p.ID))) >= minCrashes-1 {
+		if q.quarantines[hash(p.ID)] != nil || distinct(q.evidence()[hash(p.ID)].times) >= minCrashes-1 {
 			return true
 		}
 	}
--- a/upstream/quarantiner/report.go
+++ b/upstream/quarantiner/report.go
@@ -12,9 +12,10 @@
 const (
 	// reportTime is how long after a crash its evidence is reported.
 	reportTime = 30 * time.Second
-	// maxAccusations, maxCleared and maxQuarantinesReported bound one report, which is a part of a datagram. Half of the accusations are the
-	// gravest, the others follow in turn.
-	maxAccusations         = 8
+	// maxCrashesReported, maxCleared and maxQuarantinesReported bound one report, which is a part of a datagram, and maxAccusedReported the
+	// parts of a crash in it. The gravest crash is always reported, the others follow in turn.
+	maxCrashesReported     = 3
+	maxAccusedReported     = 6
 	maxCleared             = 4
 	maxQuarantinesReported = 4
 )
@@ -23,47 +24,68 @@
 func (q *Quarantiner) Report() fuchsiaspoke.PromptEvidence {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.crashes)+len(q.quarantines) == 0 {
+	if len(q.crashes)+len(q.quarantines)+len(q.contested) == 0 {
 		return fuchsiaspoke.PromptEvidence{}
 	}
 	q.evaluate()
 	q.reported++
-	accusations, cleared := q.openEvidence()
-	gravest := min(len(accusations), maxAccusations/2)
+	crashes := q.openCrashes()
+	gravest := min(len(crashes), 1)
 	return fuchsiaspoke.PromptEvidence{
-		Accusations: append(slices.Clone(accusations[:gravest]), inTurn(accusations[gravest:], q.reported, maxAccusations-gravest)...),
-		Cleared:     inTurn(cleared, q.reported, maxCleared),
+		Crashes:     append(slices.Clone(crashes[:gravest]), inTurn(crashes[gravest:], q.reported, maxCrashesReported-gravest)...),
+		Cleared:     inTurn(q.clearedParts(), q.reported, maxCleared),
 		Quarantined: inTurn(q.quarantined(), q.reported, maxQuarantinesReported),
 	}
 }
 
-// openEvidence returns the accusations of late crashes that nothing explains, the gravest first, and the parts in them that are cleared.
-func (q *Quarantiner) openEvidence() (accusations []fuchsiaspoke.Accusation, cleared []fuchsiaspoke.ClearedPart) {
-	now := q.Clock()
-	crashesOf, clearedAt := make(map[uint64]int), make(map[uint64]time.Duration)
+// openCrashes returns the late crashes that nothing explains, with the parts that nothing clears, the gravest first.
+func (q *Quarantiner) openCrashes() []fuchsiaspoke.CrashReport {
+	evidence, now := q.evidence(), q.Clock()
+	gravity := func(part uint64) int { return len(evidence[part].times) }
+	var out []fuchsiaspoke.CrashReport
+	for process, c := range q.crashes {
+		report := fuchsiaspoke.CrashReport{Process: process, AgeMs: fuchsiaspoke.Milliseconds(now - c.at)}
+		for part, a := range c.accused {
+			if gravity(part) > 0 {
+				report.Accused = append(report.Accused, fuchsiaspoke.AccusedPart{Part: part, Index: a.index})
+			}
+		}
+		if now-c.at > reportTime || len(report.Accused) == 0 || q.isExplained(c) {
+			continue
+		}
+		slices.SortFunc(report.Accused, func(a, b fuchsiaspoke.AccusedPart) int {
+			return cmp.Or(cmp.Compare(gravity(b.Part), gravity(a.Part)), cmp.Compare(a.Part, b.Part))
+		})
+		report.Accused = report.Accused[:min(len(report.Accused), maxAccusedReported)]
+		out = append(out, report)
+	}
+	slices.SortFunc(out, func(a, b fuchsiaspoke.CrashReport) int {
+		return cmp.Or(cmp.Compare(gravity(b.Accused[0].Part), gravity(a.Accused[0].Part)), cmp.Compare(a.AgeMs, b.AgeMs), cmp.Compare(a.Process, b.Process))
+	})
+	return out
+}
+
+// clearedParts returns the parts of late crashes with which a request has begun, and those that a peer has in quarantine all the same.
+func (q *Quarantiner) clearedParts() []fuchsiaspoke.ClearedPart {
+	now, at := q.Clock(), make(map[uint64]time.Duration)
 	for part := range q.contested {
-		clearedAt[part] = q.begins[part].at
+		at[part] = q.begins[part].at
 	}
-	for process, c := range q.crashes {
-		if now-c.at > reportTime || q.isExplained(c) {
+	for _, c := range q.crashes {
+		if now-c.at > reportTime {
 			continue
 		}
-		for part, accused := range c.accused {
+		for part := range c.accused {
 			if b, begun := q.begins[part]; begun && b.at+clearedFor >= c.at {
-				clearedAt[part] = b.at
-				continue
+				at[part] = b.at
 			}
-			crashesOf[part]++
-			accusations = append(accusations, fuchsiaspoke.Accusation{Process: process, Part: part, Index: accused.index, AgeMs: fuchsiaspoke.Milliseconds(now - c.at)})
 		}
 	}
-	slices.SortFunc(accusations, func(a, b fuchsiaspoke.Accusation) int {
-		return cmp.Or(cmp.Compare(crashesOf[b.Part], crashesOf[a.Part]), cmp.Compare(a.AgeMs, b.AgeMs), cmp.Compare(a.Part, b.Part))
-	})
-	for _, part := range slices.Sorted(maps.Keys(clearedAt)) {
-		cleared = append(cleared, fuchsiaspoke.ClearedPart{Part: part, AgeMs: fuchsiaspoke.Milliseconds(now - clearedAt[part])})
+	out := make([]fuchsiaspoke.ClearedPart, 0, len(at))
+	for _, part := range slices.Sorted(maps.Keys(at)) {
+		out = append(out, fuchsiaspoke.ClearedPart{Part: part, AgeMs: fuchsiaspoke.Milliseconds(now - at[part])})
 	}
-	return accusations, cleared
+	return out
 }
 
 func (q *Quarantiner) quarantined() []fuchsiaspoke.QuarantinedPart {
@@ -99,8 +121,10 @@
 	for _, c := range e.Cleared {
 		q.clear(c.Part, now-age(c.AgeMs), 0)
 	}
-	for _, a := range e.Accusations {
-		q.accuse(a.Process, now-age(a.AgeMs), a.Part, a.Index, 0)
+	for _, c := range e.Crashes {
+		for _, a := range c.Accused {
+			q.accuse(c.Process, now-age(c.AgeMs), a.Part, a.Index, 0)
+		}
 	}
 	for _, held := range e.Quarantined {
 		q.mergeQuarantine(held, from)
