--- a/upstream/quarantiner/report.go
+++ b/upstream/quarantiner/report.go
@@ -18,6 +18,8 @@
 	maxAccusedReported     = 6
 	maxCleared             = 4
 	maxQuarantinesReported = 4
+	// oldReportInterval is the number of reports of which one names quarantines older than reportTime, for VMs that start.
+	oldReportInterval = 8
 )
 
 // Report returns the evidence for the next heartbeat. Evidence of other VMs is passed on.
@@ -34,7 +36,7 @@
 	return fuchsiaspoke.PromptEvidence{
 		Crashes:     append(slices.Clone(crashes[:gravest]), inTurn(crashes[gravest:], q.reported, maxCrashesReported-gravest)...),
 		Cleared:     inTurn(q.clearedParts(), q.reported, maxCleared),
-		Quarantined: inTurn(q.quarantined(), q.reported, maxQuarantinesReported),
+		Quarantined: inTurn(q.quarantined(), q.reported/oldReportInterval, maxQuarantinesReported),
 	}
 }
 
@@ -88,11 +90,15 @@
 	return out
 }
 
+// quarantined returns the parts in quarantine: new ones in each report, old ones now and then.
 func (q *Quarantiner) quarantined() []fuchsiaspoke.QuarantinedPart {
 	now := q.Clock()
 	var out []fuchsiaspoke.QuarantinedPart
 	for _, part := range slices.Sorted(maps.Keys(q.quarantines)) {
 		held := q.quarantines[part]
+		if now-held.since > reportTime && q.reported%oldReportInterval != 0 {
+			continue
+		}
 		out = append(out, fuchsiaspoke.QuarantinedPart{
 			Part: part, AgeMs: fuchsiaspoke.Milliseconds(now - held.since), LeftMs: fuchsiaspoke.Milliseconds(held.until - now),
 			Round: uint8(held.round),
