--- a/prompt_evidence.go
+++ b/prompt_evidence.go
@@ -1,10 +1,5 @@
 package fuchsiaspoke
 
-import (
-	"math"
-	"time"
-)
-
 // PromptEvidence is what a VM tells others of parts of prompts on which engines may crash, a part of it in each heartbeat. Parts and processes
 // are named by hashes.
 type PromptEvidence struct {
@@ -22,12 +17,12 @@
 	Process uint64
 	// AgeMs is the time in milliseconds since then.
 	AgeMs uint32
-	// Accused are parts of requests that were there and had not begun to be answered.
-	Accused []AccusedPart
+	// Suspects are parts of requests that were there and had not begun to be answered.
+	Suspects []SuspectPart
 }
 
-// AccusedPart is a part that was at an engine as its process ended.
-type AccusedPart struct {
+// SuspectPart is a part of a prompt that was at an engine as its process ended.
+type SuspectPart struct {
 	_    struct{} `cbor:",toarray"`
 	Part uint64
 	// Index is the part's place in the prompt.
@@ -59,8 +54,3 @@
 	}
 	return &e
 }
-
-// Milliseconds returns a duration for a message, from 0 to the largest number that it holds.
-func Milliseconds(d time.Duration) uint32 {
-	return uint32(min(max(d/time.Millisecond, 0), math.MaxUint32))
-}
--- a/reading.go
+++ b/reading.go
@@ -33,7 +33,7 @@
 
 // WithAge returns the reading with the time since the read, rounded down to milliseconds.
 func (r Reading) WithAge(age time.Duration) Reading {
-	r.AgeMs = uint32(min(max(age/time.Millisecond, 0), math.MaxUint32))
+	r.AgeMs = Milliseconds(age)
 	return r
 }
 
--- a/upstream/quarantiner/evidence.go
+++ b/upstream/quarantiner/evidence.go
@@ -11,8 +11,8 @@
 // partName returns the number of a part as logs name it.
 func partName(part uint64) string { return strconv.FormatUint(part, 16) }
 
-// accused is the evidence against a part: the times of the crashes that accuse it, in order, and its requests there.
-type accused struct {
+// partEvidence is the evidence against a part: the times of the crashes under which it is suspected, in order, and its requests there.
+type partEvidence struct {
 	times    []time.Duration
 	requests int
 	index    uint8
@@ -20,21 +20,21 @@
 
 // evidence returns the evidence against each part that no request has cleared: of crashes that no part in quarantine explains, and before
 // which no request with the part began for clearedFor.
-func (q *Quarantiner) evidence() map[uint64]accused {
+func (q *Quarantiner) evidence() map[uint64]partEvidence {
 	if q.known != nil {
 		return q.known
 	}
-	q.known = make(map[uint64]accused)
+	q.known = make(map[uint64]partEvidence)
 	for _, c := range q.crashes {
 		if q.isExplained(c) {
 			continue
 		}
-		for part, a := range c.accused {
+		for part, a := range c.suspects {
 			if begun, cleared := q.begins[part]; cleared && begun.at+clearedFor >= c.at {
 				continue
 			}
 			known := q.known[part]
-			q.known[part] = accused{append(known.times, c.at), known.requests + a.requests, a.index}
+			q.known[part] = partEvidence{append(known.times, c.at), known.requests + a.requests, a.index}
 		}
 	}
 	for _, a := range q.known {
@@ -48,7 +48,7 @@
 	if len(q.quarantines) == 0 {
 		return false
 	}
-	for part := range c.accused {
+	for part := range c.suspects {
 		if q.quarantines[part] != nil {
 			return true
 		}
@@ -67,8 +67,8 @@
 	return n
 }
 
-// suspect is a part that enough crashes accuse, the last of them some time ago.
-type suspect struct {
+// candidate is a part that is suspected under enough crashes, the last of them some time ago.
+type candidate struct {
 	part    uint64
 	crashes int
 	settled time.Duration
@@ -79,43 +79,43 @@
 	index uint8
 }
 
-// likelier orders suspects, the likeliest first.
-func likelier(a, b suspect) int {
+// likelier orders candidates, the likeliest first.
+func likelier(a, b candidate) int {
 	return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.requests, b.requests), cmp.Compare(b.index, a.index), cmp.Compare(a.part, b.part))
 }
 
 // evaluate puts the parts in quarantine that explain the crashes, the likeliest first.
 func (q *Quarantiner) evaluate() {
 	for len(q.quarantines) < maxQuarantined {
-		suspects := q.suspects()
-		if len(suspects) == 0 {
+		candidates := q.candidates()
+		if len(candidates) == 0 {
 			return
 		}
-		slices.SortFunc(suspects, likelier)
-		first := suspects[0]
-		ambiguous := len(suspects) > 1 && suspects[1].crashes == first.crashes && suspects[1].requests == first.requests
+		slices.SortFunc(candidates, likelier)
+		first := candidates[0]
+		ambiguous := len(candidates) > 1 && candidates[1].crashes == first.crashes && candidates[1].requests == first.requests
 		if ambiguous && first.settled < ambiguityTime {
 			return
 		}
-		q.Log("prompt part suspected", "part", partName(first.part), "crashes", first.crashes, "requests", first.requests, "suspects", len(suspects))
+		q.Log("prompt part suspected", "part", partName(first.part), "crashes", first.crashes, "requests", first.requests, "candidates", len(candidates))
 		q.hold(first.part, q.Clock(), 1)
 	}
 }
 
-// suspects returns the parts that minCrashes accuse, the last of them some time ago.
-func (q *Quarantiner) suspects() []suspect {
+// candidates returns the parts that are suspected under minCrashes, the last of them some time ago.
+func (q *Quarantiner) candidates() []candidate {
 	if len(q.crashes) < minCrashes {
 		return nil
 	}
 	now := q.Clock()
-	var out []suspect
+	var out []candidate
 	for part, a := range q.evidence() {
 		n := distinct(a.times)
 		if n < minCrashes {
 			continue
 		}
 		if settled := now - nth(a.times, minCrashes); settled >= q.settleTime() {
-			out = append(out, suspect{part, n, settled, a.requests + q.begins[part].count, a.index})
+			out = append(out, candidate{part, n, settled, a.requests + q.begins[part].count, a.index})
 		}
 	}
 	return out
--- a/upstream/quarantiner/quarantiner.go
+++ b/upstream/quarantiner/quarantiner.go
@@ -1,7 +1,7 @@
 // Package quarantiner decides which parts of prompts are no longer sent to engines, as engines crash on them.
 //
-// A crash accuses the parts of all requests that were at the engine and had not begun to be answered, the last part as well: one request may
-// come again and again. A part is cleared by a request with it that begins. The part that is in several crashes, one after the other, and never cleared is put in quarantine at all VMs.
+// After a crash the parts of all requests are suspected that were at the engine and had not begun to be answered, the last part as well: one
+// request may come again and again. A part is cleared by a request with it that begins. The part that is in several crashes, one after the other, and never cleared is put in quarantine at all VMs.
 package quarantiner
 
 import (
@@ -20,7 +20,7 @@
 	// moment have a common cause.
 	minCrashes   = 3
 	crashSpacing = 200 * time.Millisecond
-	// clearedFor is how long after a request with a part began crashes don't accuse that part.
+	// clearedFor is how long after a request with a part began that part is not suspected under a crash.
 	clearedFor = 10 * time.Second
 	// settleTimeSmall is the time after these crashes for what other VMs know of the part to arrive: in a small fleet each tells each, in a large
 	// one the news takes three heartbeats. ambiguityTime is that for a sound request to begin where another part has been in the same requests.
@@ -38,9 +38,9 @@
 	// trialTime the time for which the others then wait.
 	trialSpacing = 2 * time.Second
 	trialTime    = 10 * time.Second
-	// maxParts bounds the parts that are known to begin, and maxAccused those that one crash accuses.
-	maxParts   = 8192
-	maxAccused = 64
+	// maxParts bounds the parts that are known to begin, and maxSuspects those suspected under one crash.
+	maxParts    = 8192
+	maxSuspects = 64
 	// maxCrashes bounds the crashes that are remembered, and maxQuarantined the parts in quarantine.
 	maxCrashes     = 256
 	maxQuarantined = 64
@@ -64,7 +64,7 @@
 	crashes     map[uint64]*crash
 	quarantines map[uint64]*quarantine
 	// known is the result of evidence, nil after a change.
-	known map[uint64]accused
+	known map[uint64]partEvidence
 	// contested holds the parts that began here although a peer has them in quarantine.
 	contested map[uint64]bool
 	// reported counts the reports that were composed, so that they name all entries in turn.
@@ -81,12 +81,12 @@
 // crash is the end of one process of an engine.
 type crash struct {
 	at time.Duration
-	// accused holds the parts of its requests that had not begun.
-	accused map[uint64]accusation
+	// suspects holds the parts of its requests that had not begun.
+	suspects map[uint64]suspicion
 }
 
-// accusation is what is known of a part that was at an engine as it crashed.
-type accusation struct {
+// suspicion is what is known of a part that was at an engine as it crashed.
+type suspicion struct {
 	// requests is the number of this VM's requests with the part there, or 1 if there were none, and index the part's place in the prompt.
 	requests int
 	index    uint8
@@ -121,7 +121,7 @@
 	}
 	b := q.begins[part]
 	q.begins[part] = begin{at: max(b.at, at), count: b.count + count}
-	if _, accused := q.known[part]; accused {
+	if _, suspected := q.known[part]; suspected {
 		q.known = nil
 	}
 	if len(q.begins) > maxParts {
@@ -151,13 +151,13 @@
 	defer q.mu.Unlock()
 	process := hash(engine.ID + "/" + strconv.FormatInt(engine.StartedAtMs, 10))
 	for i, part := range d.Parts {
-		q.accuse(process, q.Clock(), hash(part.ID), uint8(min(i, math.MaxUint8)), 1)
+		q.suspect(process, q.Clock(), hash(part.ID), uint8(min(i, math.MaxUint8)), 1)
 	}
 	q.evaluate()
 }
 
-// accuse adds a part to those of a crash, which is counted as of the earliest time reported. requests is 0 for a part that a peer reports.
-func (q *Quarantiner) accuse(process uint64, at time.Duration, part uint64, index uint8, requests int) {
+// suspect adds a part to those of a crash, which is counted as of the earliest time reported. requests is 0 for a part that a peer reports.
+func (q *Quarantiner) suspect(process uint64, at time.Duration, part uint64, index uint8, requests int) {
 	if q.Clock()-at > crashRetention {
 		return
 	}
@@ -168,14 +168,14 @@
 	if at < c.at {
 		c.at, q.known = at, nil
 	}
-	known, seen := c.accused[part]
-	if !seen && len(c.accused) >= maxAccused && !q.makeRoom(c) {
+	known, seen := c.suspects[part]
+	if !seen && len(c.suspects) >= maxSuspects && !q.makeRoom(c) {
 		return
 	}
 	if seen && requests == 0 {
 		return
 	}
-	c.accused[part] = accusation{requests: max(known.requests+requests, 1), index: index}
+	c.suspects[part] = suspicion{requests: max(known.requests+requests, 1), index: index}
 	q.known = nil
 	if held := q.quarantines[part]; held != nil && at > held.until-trialTime && at > held.since+lengthOf(held.round) {
 		q.hold(part, at, held.round+1)
@@ -195,16 +195,16 @@
 	if q.crashes == nil {
 		q.crashes = make(map[uint64]*crash)
 	}
-	c := &crash{at: at, accused: make(map[uint64]accusation)}
+	c := &crash{at: at, suspects: make(map[uint64]suspicion)}
 	q.crashes[process] = c
 	return c
 }
 
-// makeRoom removes a part that no other crash accuses.
+// makeRoom removes a part that is suspected under no other crash.
 func (q *Quarantiner) makeRoom(c *crash) bool {
-	for part := range c.accused {
+	for part := range c.suspects {
 		if len(q.evidence()[part].times) <= 1 {
-			delete(c.accused, part)
+			delete(c.suspects, part)
 			q.known = nil
 			return true
 		}
@@ -212,27 +212,18 @@
 	return false
 }
 
-// Verdict is whether a request may be sent to engines.
-type Verdict struct {
-	// Part is the id of the part because of which it may not, "" if it may, and Left the time after which that may change.
-	Part string
-	Left time.Duration
-	// Trial means that it may, as the only request of the fleet with a part whose quarantine is over.
-	Trial bool
-}
-
 // Admit decides on a new request.
-func (q *Quarantiner) Admit(d fuchsiaspoke.Demand) Verdict {
+func (q *Quarantiner) Admit(d fuchsiaspoke.Demand) fuchsiaspoke.PromptVerdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.evaluate()
-	verdict := Verdict{}
+	verdict := fuchsiaspoke.PromptVerdict{}
 	for _, p := range d.Parts {
 		held := q.quarantines[hash(p.ID)]
 		switch wait := q.untilTrial(held, hash(p.ID)); {
 		case held == nil:
 		case wait > 0:
-			return Verdict{Part: p.ID, Left: wait}
+			return fuchsiaspoke.PromptVerdict{Part: p.ID, Left: wait}
 		default:
 			held.until, held.trialAt = q.Clock()+trialTime, 0
 			verdict.Trial = true
@@ -277,7 +268,7 @@
 	return time.Duration(q.VMs()) * trialSpacing * time.Duration(d.Sum64()%steps) / steps
 }
 
-// Suspected reports whether the prompt has a part that two crashes accuse or that is in quarantine, so that a request with it is not
+// Suspected reports whether the prompt has a part that is suspected under two crashes or that is in quarantine, so that a request with it is not
 // repeated after a crash.
 func (q *Quarantiner) Suspected(d fuchsiaspoke.Demand) bool {
 	q.mu.Lock()
--- a/upstream/quarantiner/report.go
+++ b/upstream/quarantiner/report.go
@@ -12,10 +12,10 @@
 const (
 	// reportTime is how long after a crash its evidence is reported.
 	reportTime = 30 * time.Second
-	// maxCrashesReported, maxCleared and maxQuarantinesReported bound one report, which is a part of a datagram, and maxAccusedReported the
+	// maxCrashesReported, maxCleared and maxQuarantinesReported bound one report, which is a part of a datagram, and maxSuspectsReported the
 	// parts of a crash in it. The gravest crash is always reported, the others follow in turn.
 	maxCrashesReported     = 3
-	maxAccusedReported     = 6
+	maxSuspectsReported    = 6
 	maxCleared             = 4
 	maxQuarantinesReported = 4
 	// oldReportInterval is the number of reports of which one names quarantines older than reportTime, for VMs that start.
@@ -47,22 +47,22 @@
 	var out []fuchsiaspoke.CrashReport
 	for process, c := range q.crashes {
 		report := fuchsiaspoke.CrashReport{Process: process, AgeMs: fuchsiaspoke.Milliseconds(now - c.at)}
-		for part, a := range c.accused {
+		for part, a := range c.suspects {
 			if gravity(part) > 0 {
-				report.Accused = append(report.Accused, fuchsiaspoke.AccusedPart{Part: part, Index: a.index})
+				report.Suspects = append(report.Suspects, fuchsiaspoke.SuspectPart{Part: part, Index: a.index})
 			}
 		}
-		if now-c.at > reportTime || len(report.Accused) == 0 || q.isExplained(c) {
+		if now-c.at > reportTime || len(report.Suspects) == 0 || q.isExplained(c) {
 			continue
 		}
-		slices.SortFunc(report.Accused, func(a, b fuchsiaspoke.AccusedPart) int {
+		slices.SortFunc(report.Suspects, func(a, b fuchsiaspoke.SuspectPart) int {
 			return cmp.Or(cmp.Compare(gravity(b.Part), gravity(a.Part)), cmp.Compare(a.Part, b.Part))
 		})
-		report.Accused = report.Accused[:min(len(report.Accused), maxAccusedReported)]
+		report.Suspects = report.Suspects[:min(len(report.Suspects), maxSuspectsReported)]
 		out = append(out, report)
 	}
 	slices.SortFunc(out, func(a, b fuchsiaspoke.CrashReport) int {
-		return cmp.Or(cmp.Compare(gravity(b.Accused[0].Part), gravity(a.Accused[0].Part)), cmp.Compare(a.AgeMs, b.AgeMs), cmp.Compare(a.Process, b.Process))
+		return cmp.Or(cmp.Compare(gravity(b.Suspects[0].Part), gravity(a.Suspects[0].Part)), cmp.Compare(a.AgeMs, b.AgeMs), cmp.Compare(a.Process, b.Process))
 	})
 	return out
 }
@@ -77,7 +77,7 @@
 		if now-c.at > reportTime {
 			continue
 		}
-		for part := range c.accused {
+		for part := range c.suspects {
 			if b, begun := q.begins[part]; begun && b.at+clearedFor >= c.at {
 				at[part] = b.at
 			}
@@ -128,8 +128,8 @@
 		q.clear(c.Part, now-age(c.AgeMs), 0)
 	}
 	for _, c := range e.Crashes {
-		for _, a := range c.Accused {
-			q.accuse(c.Process, now-age(c.AgeMs), a.Part, a.Index, 0)
+		for _, a := range c.Suspects {
+			q.suspect(c.Process, now-age(c.AgeMs), a.Part, a.Index, 0)
 		}
 	}
 	for _, held := range e.Quarantined {
