--- a/contract/watcher/fleet_test.go
+++ b/contract/watcher/fleet_test.go
@@ -29,13 +29,22 @@
 // fleetPlatform is the platform as one VM of a fleet sees it: it may turn this VM away while it serves the others.
 type fleetPlatform struct {
 	*fakePlatform
+
+	// stateMu guards the fields below.
+	stateMu sync.Mutex
 	// silent leaves calls without a response, and refusing fails them at once.
 	silent, refusing bool
 	// frozenUntil is the time until which the VM is suspended; its calls and the responses to it wait for that long.
 	frozenUntil time.Time
 }
 
-func (p *fleetPlatform) waitUntilAwake() { time.Sleep(time.Until(p.frozenUntil)) }
+func (p *fleetPlatform) wakesAt() time.Time {
+	p.stateMu.Lock()
+	defer p.stateMu.Unlock()
+	return p.frozenUntil
+}
+
+func (p *fleetPlatform) waitUntilAwake() { time.Sleep(time.Until(p.wakesAt())) }
 
 func (p *fleetPlatform) List(ctx context.Context) (fuchsiaspoke.PublicationList, error) {
 	if err := p.turnAway(ctx); err != nil {
@@ -59,11 +68,14 @@
 }
 
 func (p *fleetPlatform) turnAway(ctx context.Context) error {
-	if p.silent {
+	p.stateMu.Lock()
+	silent, refusing := p.silent, p.refusing
+	p.stateMu.Unlock()
+	if silent {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if p.refusing {
+	if refusing {
 		return errors.New("refused")
 	}
 	return nil
@@ -155,15 +167,23 @@
 
 // turnAway lets the platform turn away a VM.
 func (f *watcherFleet) turnAway(n int, silent bool) {
-	f.platforms[n].silent, f.platforms[n].refusing = silent, !silent
+	p := f.platforms[n]
+	p.stateMu.Lock()
+	defer p.stateMu.Unlock()
+	p.silent, p.refusing = silent, !silent
 }
 
 // freeze suspends a VM.
-func (f *watcherFleet) freeze(n int, d time.Duration) { f.platforms[n].frozenUntil = time.Now().Add(d) }
+func (f *watcherFleet) freeze(n int, d time.Duration) {
+	p := f.platforms[n]
+	p.stateMu.Lock()
+	defer p.stateMu.Unlock()
+	p.frozenUntil = time.Now().Add(d)
+}
 
 // wasSuspended reports whether a VM was suspended within the limit, so that it may be late itself.
 func (f *watcherFleet) wasSuspended(n int) bool {
-	return time.Since(f.platforms[n].frozenUntil) < fleetChangeLimit
+	return time.Since(f.platforms[n].wakesAt()) < fleetChangeLimit
 }
 
 // requireInForce waits for the limit and fails the test if a VM that ran all the while does not have the contract version then.
