--- a/upstream/quarantiner/evidence.go
+++ b/upstream/quarantiner/evidence.go
@@ -21,10 +21,10 @@
 // evidence returns the evidence against each part that no request has cleared: of crashes that no part in quarantine explains, and before
 // which no request with the part began for clearedFor.
 func (q *Quarantiner) evidence() map[uint64]partEvidence {
-	if q.known != nil {
-		return q.known
+	if q.cachedEvidence != nil {
+		return q.cachedEvidence
 	}
-	q.known = make(map[uint64]partEvidence)
+	q.cachedEvidence = make(map[uint64]partEvidence)
 	for _, c := range q.crashes {
 		if q.isExplained(c) {
 			continue
@@ -33,14 +33,14 @@
 			if begun, cleared := q.begins[part]; cleared && begun.at+clearedFor >= c.at {
 				continue
 			}
-			known := q.known[part]
-			q.known[part] = partEvidence{append(known.times, c.at), known.requests + a.requests, a.index}
+			known := q.cachedEvidence[part]
+			q.cachedEvidence[part] = partEvidence{append(known.times, c.at), known.requests + a.requests, a.index}
 		}
 	}
-	for _, a := range q.known {
+	for _, a := range q.cachedEvidence {
 		slices.Sort(a.times)
 	}
-	return q.known
+	return q.cachedEvidence
 }
 
 // isExplained reports whether a part in quarantine was at the engine that crashed.
@@ -114,7 +114,7 @@
 		if n < minCrashes {
 			continue
 		}
-		if settled := now - nth(a.times, minCrashes); settled >= q.settleTime() {
+		if settled := now - timeOfNth(a.times, minCrashes); settled >= q.settleTime() {
 			out = append(out, candidate{part, n, settled, a.requests + q.begins[part].count, a.index})
 		}
 	}
@@ -128,8 +128,8 @@
 	return settleTimeSmall
 }
 
-// nth returns the time of the crash with which there are n distinct ones.
-func nth(times []time.Duration, n int) time.Duration {
+// timeOfNth returns the time of the crash with which there are n distinct ones.
+func timeOfNth(times []time.Duration, n int) time.Duration {
 	for i := range times {
 		if distinct(times[:i+1]) >= n {
 			return times[i]
@@ -152,7 +152,7 @@
 		q.quarantines = make(map[uint64]*quarantine)
 	}
 	q.quarantines[part] = &held
-	q.known = nil
+	q.cachedEvidence = nil
 }
 
 // lengthOf returns the length of a quarantine.
--- a/upstream/quarantiner/quarantiner.go
+++ b/upstream/quarantiner/quarantiner.go
@@ -63,8 +63,8 @@
 	begins      map[uint64]begin
 	crashes     map[uint64]*crash
 	quarantines map[uint64]*quarantine
-	// known is the result of evidence, nil after a change.
-	known map[uint64]partEvidence
+	// cachedEvidence is the result of evidence, nil after a change.
+	cachedEvidence map[uint64]partEvidence
 	// contested holds the parts that began here although a peer has them in quarantine.
 	contested map[uint64]bool
 	// reported counts the reports that were composed, so that they name all entries in turn.
@@ -121,15 +121,15 @@
 	}
 	b := q.begins[part]
 	q.begins[part] = begin{at: max(b.at, at), count: b.count + count}
-	if _, suspected := q.known[part]; suspected {
-		q.known = nil
+	if _, suspected := q.cachedEvidence[part]; suspected {
+		q.cachedEvidence = nil
 	}
 	if len(q.begins) > maxParts {
 		q.forgetBegins()
 	}
 	if held := q.quarantines[part]; held != nil && at+clearedFor > held.since {
 		delete(q.quarantines, part)
-		q.known = nil
+		q.cachedEvidence = nil
 		q.Count("prompt_part_cleared")
 		q.Log("prompt part cleared", "part", partName(part), "held_ms", (q.Clock() - held.since).Milliseconds(), "round", held.round)
 	}
@@ -166,7 +166,7 @@
 		return
 	}
 	if at < c.at {
-		c.at, q.known = at, nil
+		c.at, q.cachedEvidence = at, nil
 	}
 	known, seen := c.suspects[part]
 	if !seen && len(c.suspects) >= maxSuspects && !q.makeRoom(c) {
@@ -176,7 +176,7 @@
 		return
 	}
 	c.suspects[part] = suspicion{requests: max(known.requests+requests, 1), index: index}
-	q.known = nil
+	q.cachedEvidence = nil
 	if held := q.quarantines[part]; held != nil && at > held.until-trialTime && at > held.since+lengthOf(held.round) {
 		q.hold(part, at, held.round+1)
 	}
@@ -188,7 +188,7 @@
 		return c
 	}
 	maps.DeleteFunc(q.crashes, func(_ uint64, c *crash) bool { return q.Clock()-c.at > crashRetention })
-	q.known = nil
+	q.cachedEvidence = nil
 	if len(q.crashes) >= maxCrashes {
 		return nil
 	}
@@ -205,7 +205,7 @@
 	for part := range c.suspects {
 		if len(q.evidence()[part].times) <= 1 {
 			delete(c.suspects, part)
-			q.known = nil
+			q.cachedEvidence = nil
 			return true
 		}
 	}
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -63,14 +63,24 @@
 			t.discard(next)
 			return t.resultAfterLastAttempt(ctx, relay, outcome)
 		}
-		mayRepeat := outcome.notRun || relay.headSent.Load() || t.mayRepeat()
-		if next == nil && !outcome.notSent && (!relay.mayGoOn(t.request.Route) || !mayRepeat || !t.takeRetry(outcome.notRun)) {
+		if next == nil && !t.mayTryAgain(relay, outcome) {
 			return t.resultAfterLastAttempt(ctx, relay, outcome)
 		}
 		a = next
 	}
 }
 
+// mayTryAgain reports whether another engine may be sent the request after an attempt, and takes a retry from the budget if so.
+func (t *requestTask) mayTryAgain(relay *streamRelay, o outcome) bool {
+	switch {
+	case o.notSent:
+		return true
+	case !relay.mayGoOn(t.request.Route), !o.notRun && t.mayCrashNext(relay):
+		return false
+	}
+	return t.takeRetry(o.notRun)
+}
+
 // interruptedIfStarted replaces a refusal with ErrResponseInterrupted if the head of the stream was already sent.
 func (t *requestTask) interruptedIfStarted(r *streamRelay, err error) error {
 	if r.headSent.Load() {
--- a/vm/sender/quarantine.go
+++ b/vm/sender/quarantine.go
@@ -47,5 +47,7 @@
 	t.Quarantiner.RecordCrash(a.replica.Incarnation(), t.request.Demand)
 }
 
-// mayRepeat reports whether the request may be sent to another engine after an attempt: one that may be the cause of crashes is not.
-func (t *requestTask) mayRepeat() bool { return !t.Quarantiner.Suspected(t.request.Demand) }
+// mayCrashNext reports whether a request that has not begun may be the cause of crashes, so that no other engine should get it.
+func (t *requestTask) mayCrashNext(relay *streamRelay) bool {
+	return !relay.headSent.Load() && t.Quarantiner.Suspected(t.request.Demand)
+}
--- a/vm/sender/takeover.go
+++ b/vm/sender/takeover.go
@@ -26,7 +26,7 @@
 // response: an engine that has sent its head alone may still turn out to be silent itself.
 func (t *requestTask) resumeAtOther(ctx context.Context, r *streamRelay) *attempt {
 	position := r.position.Load()
-	if !r.mayGoOn(t.request.Route) || !r.headSent.Load() && !t.mayRepeat() || !t.takeRetry(false) {
+	if !r.mayGoOn(t.request.Route) || t.mayCrashNext(r) || !t.takeRetry(false) {
 		return nil
 	}
 	admission, replica, refusal := t.acquireAdmission(ctx, position)
