Crashes from before a VM's start count there

Cause: times before the start of the process are negative, and the first one of them was compared with a time that never was. A VM that has just started so needed other crashes, or the quarantine of a peer.

Evidence: TestCrashesBeforeTheStartOfAVMCount failed before: the request was admitted.

--- a/upstream/quarantiner/evidence.go
+++ b/upstream/quarantiner/evidence.go
@@ -58,9 +58,9 @@
 
 // distinct returns the number of times that are crashSpacing apart.
 func distinct(times []time.Duration) int {
-	n, last := 0, -crashSpacing
+	n, last := 0, time.Duration(0)
 	for _, at := range times {
-		if at-last >= crashSpacing {
+		if n == 0 || at-last >= crashSpacing {
 			n, last = n+1, at
 		}
 	}
--- a/upstream/quarantiner/quarantiner.go
+++ b/upstream/quarantiner/quarantiner.go
@@ -1,7 +1,8 @@
 // Package quarantiner decides which parts of prompts are no longer sent to engines, as engines crash on them.
 //
 // After a crash the parts of all requests are suspected that were at the engine and had not begun to be answered, the last part as well: one
-// request may come again and again. A part is cleared by a request with it that begins. The part that is in several crashes, one after the other, and never cleared is put in quarantine at all VMs.
+// request may come again and again. A part is cleared by a request with it that begins. The part that is in several crashes, one after the
+// other, and never cleared is put in quarantine at all VMs.
 package quarantiner
 
 import (
--- a/upstream/quarantiner/report_test.go
+++ b/upstream/quarantiner/report_test.go
@@ -90,3 +90,19 @@
 		}
 	}
 }
+
+// A VM that has just started hears of crashes from before its start.
+func TestCrashesBeforeTheStartOfAVMCount(t *testing.T) {
+	before := time.Minute
+	q, now := newQuarantiner(&before), 100*time.Millisecond
+	started := newQuarantiner(&now)
+	for n := range 3 {
+		q.RecordCrash(fuchsiaspoke.ReplicaIncarnation{ID: fmt.Sprint("engine", n)}, demandOf("part", fmt.Sprint("own", n)))
+		before += 350 * time.Millisecond
+	}
+	started.Merge(q.Report(), "peer")
+	now += 2 * time.Second
+	if got := started.Admit(demandOf("part", "own")); got.Part != "part" {
+		t.Errorf("%+v after three crashes, want a quarantine", got)
+	}
+}
