--- a/replica_notice.go
+++ b/replica_notice.go
@@ -8,6 +8,10 @@
 	Draining bool
 	// Pause is how long the replica wants no further requests from this VM.
 	Pause time.Duration
+	// Limit is the number of requests a second that the replica takes from all VMs together; nil if it names none.
+	Limit *float64
+	// LimitUnreadable reports that the replica names a limit that is no number, so that the one that it named before holds on.
+	LimitUnreadable bool
 	// Fault is the reason why a part of the notice could not be used; nil if there is none.
 	Fault error
 }
--- a/upstream/permitter/permitter.go
+++ b/upstream/permitter/permitter.go
@@ -36,6 +36,10 @@
 	if n.Pause > 0 {
 		p.pause(r, n.Pause)
 	}
+	if n.Limit != nil {
+		p.Count("replica_limit_named")
+		p.Log("replica names a limit", "replica", r.ID, "address", r.Address, "per_second", *n.Limit)
+	}
 }
 
 // pause extends the pause of a replica. It forgets pauses that have ended.
