--- a/replica.go
+++ b/replica.go
@@ -1,5 +1,11 @@
 package fuchsiaspoke
 
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // ReplicaState states whether a replica accepts new requests.
 type ReplicaState string
 
@@ -54,6 +60,11 @@
 	StartedAtMs int64  `cbor:"2,keyasint"`
 }
 
+// Hash returns the number by which messages between VMs name the process.
+func (i ReplicaIncarnation) Hash() uint64 {
+	return xxhash.Sum64String(i.ID + "/" + strconv.FormatInt(i.StartedAtMs, 10))
+}
+
 // ReplicaReport is an engine's response to a state query.
 type ReplicaReport struct {
 	Replica Replica
--- a/upstream/quarantiner/quarantiner.go
+++ b/upstream/quarantiner/quarantiner.go
@@ -8,7 +8,6 @@
 import (
 	"maps"
 	"math"
-	"strconv"
 	"sync"
 	"time"
 
@@ -102,7 +101,7 @@
 	trialAt time.Duration
 }
 
-// hash returns the number by which VMs name a part or a process.
+// hash returns the number by which VMs name a part.
 func hash(id string) uint64 { return xxhash.Sum64String(id) }
 
 // RecordBegin records that a request has begun to be answered, which clears the parts of its prompt.
@@ -150,7 +149,7 @@
 func (q *Quarantiner) RecordCrash(engine fuchsiaspoke.ReplicaIncarnation, d fuchsiaspoke.Demand) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	process := hash(engine.ID + "/" + strconv.FormatInt(engine.StartedAtMs, 10))
+	process := engine.Hash()
 	for i, part := range d.Parts {
 		q.suspect(process, q.Clock(), hash(part.ID), uint8(min(i, math.MaxUint8)), 1)
 	}
--- a/upstream/quarantiner/report.go
+++ b/upstream/quarantiner/report.go
@@ -34,9 +34,9 @@
 	crashes := q.openCrashes()
 	gravest := min(len(crashes), 1)
 	return fuchsiaspoke.PromptEvidence{
-		Crashes:     append(slices.Clone(crashes[:gravest]), inTurn(crashes[gravest:], q.reported, maxCrashesReported-gravest)...),
-		Cleared:     inTurn(q.clearedParts(), q.reported, maxCleared),
-		Quarantined: inTurn(q.quarantined(), q.reported/oldReportInterval, maxQuarantinesReported),
+		Crashes:     append(slices.Clone(crashes[:gravest]), fuchsiaspoke.InTurn(crashes[gravest:], q.reported, maxCrashesReported-gravest)...),
+		Cleared:     fuchsiaspoke.InTurn(q.clearedParts(), q.reported, maxCleared),
+		Quarantined: fuchsiaspoke.InTurn(q.quarantined(), q.reported/oldReportInterval, maxQuarantinesReported),
 	}
 }
 
@@ -107,18 +107,6 @@
 	return out
 }
 
-// inTurn returns up to n entries, others with each turn.
-func inTurn[T any](all []T, turn, n int) []T {
-	if len(all) <= n {
-		return all
-	}
-	out := make([]T, 0, n)
-	for i := range n {
-		out = append(out, all[(turn*n+i)%len(all)])
-	}
-	return out
-}
-
 // Merge adds the evidence of another VM.
 func (q *Quarantiner) Merge(e fuchsiaspoke.PromptEvidence, from string) {
 	q.mu.Lock()
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -97,15 +97,8 @@
 // maxDrainingReplicas, the heartbeats name them in turn.
 func (e *Entry) drainingReplicas(heartbeat uint64) []fuchsiaspoke.ReplicaIncarnation {
 	all := e.watcher.ReportedDraining()
-	if len(all) <= maxDrainingReplicas {
-		return all
-	}
 	slices.SortFunc(all, func(a, b fuchsiaspoke.ReplicaIncarnation) int { return cmp.Compare(a.ID, b.ID) })
-	out := make([]fuchsiaspoke.ReplicaIncarnation, 0, maxDrainingReplicas)
-	for i := range maxDrainingReplicas {
-		out = append(out, all[(int(heartbeat%uint64(len(all)))*maxDrainingReplicas+i)%len(all)])
-	}
-	return out
+	return fuchsiaspoke.InTurn(all, int(heartbeat), maxDrainingReplicas)
 }
 
 // heartbeatAddress returns where a VM receives heartbeats. All VMs use the same port.
