The limit of requests that a replica names is kept by all VMs together

Hypothesis 2, each VM keeping it by itself, would have been the next fault: a share of 1/n with one token is 80 in a burst at 80 VMs.

Change: upstream/pacer. One VM, by rendezvous hashing over the hubs, grants the tokens of a limited replica over the link, one before each send (first, retry, second of a stall, resumed stream); no answer is no token. upstream/permitter asks it, as all senders ask that; a denied VM leaves the replica out until it may ask again, so what can be served elsewhere is, and the rest is refused at once with that time. The limit is evidence that merges by its time: a response that names it counts as of its arrival, one that names none as of its request's send, told in heartbeats and with each token. It belongs to a process. The first 2 s are a debt, as the first window holds what came before. A limit of 0 is asked for at 0.25 a second, so that its end is noticed.

Weighed: a share for each VM (above); k VMs by rendezvous that send alone (a VM with the demand and not the tokens refuses); tokens lent in escrow (more state, and a lent token lies idle at 1 a second); the engine's owner as granter (plain replicas have none, nor has an engine after a kill).

--- /dev/null
+++ b/upstream/pacer/pacer.go
@@ -0,0 +1,322 @@
+// Package pacer keeps the limits that replicas name: how many requests a second a replica takes from all VMs together.
+//
+// The tokens of a limited replica are granted by one VM, chosen by rendezvous hashing, as a limit may be far smaller than the fleet. A VM
+// that gets no answer from it sends nothing to that replica.
+package pacer
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// MethodToken is the link method that asks for the right to send one request to a limited replica.
+	MethodToken = "replica.token"
+
+	// tokenTimeout bounds one call of MethodToken, which requests wait for.
+	tokenTimeout = 200 * time.Millisecond
+	// callFailureWait is how long a VM that got no answer sends nothing to the replica.
+	callFailureWait = 300 * time.Millisecond
+	// maxGranters is the number of VMs that are asked for one token: one that does not grant names the one that does.
+	maxGranters = 2
+	// retention is how long a limit is remembered after its last evidence once its replica is gone, or the limit has ended.
+	retention = time.Minute
+	// maxReported bounds the limits in one report, which is a part of a datagram.
+	maxReported = 8
+)
+
+type dialer interface {
+	Call(ctx context.Context, vm fuchsiaspoke.VM, method string, request any, receive func(cbor.RawMessage) error) error
+}
+
+// Pacer grants tokens and asks for them. Its exported fields must be set before the first call.
+type Pacer struct {
+	Self fuchsiaspoke.VM
+	// Granters returns the VMs among which the one is chosen that grants a replica's tokens. This VM is among them if it may be chosen.
+	Granters  func() []fuchsiaspoke.VM
+	Published func() *fuchsiaspoke.PublishedState
+	Dialer    dialer
+	Clock     func() time.Duration
+	Log       func(event string, keysAndValues ...any)
+	// Count counts an event by its name.
+	Count func(event string)
+
+	mu sync.Mutex
+	// limits holds the limits by the hash of the replica's incarnation.
+	limits map[uint64]*limit
+	// reported counts the reports that were composed, so that they name all limits in turn.
+	reported int
+}
+
+// limit is what is known of one replica's limit.
+type limit struct {
+	// perSecond is the limit in force, unless it has ended.
+	perSecond float64
+	ended     bool
+	// at is the time of the latest evidence, and since that of the first one of the limit in force.
+	at     time.Duration
+	since  time.Duration
+	bucket bucket
+}
+
+// Name records that a replica has named a limit in a response.
+func (p *Pacer) Name(r fuchsiaspoke.Replica, perSecond float64) {
+	p.merge(fuchsiaspoke.LimitReport{Process: r.Incarnation().Hash(), PerSecond: perSecond}, p.Self.ID)
+}
+
+// End records that the response to a request which was sent at a time names no limit. A limit that was named since then holds on.
+func (p *Pacer) End(r fuchsiaspoke.Replica, sentAt time.Duration) {
+	process := r.Incarnation().Hash()
+	if !p.Limited(r.Incarnation()) {
+		return
+	}
+	p.merge(fuchsiaspoke.LimitReport{Process: process, Ended: true, AgeMs: fuchsiaspoke.Milliseconds(p.Clock() - sentAt)}, p.Self.ID)
+}
+
+// Limited reports whether a limit of the replica is in force.
+func (p *Pacer) Limited(i fuchsiaspoke.ReplicaIncarnation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.limits[i.Hash()]
+	return l != nil && !l.ended
+}
+
+// Merge adds what another VM reports.
+func (p *Pacer) Merge(reports []fuchsiaspoke.LimitReport, from string) {
+	for _, r := range reports {
+		p.merge(r, from)
+	}
+}
+
+// merge takes over later evidence than what is known.
+func (p *Pacer) merge(r fuchsiaspoke.LimitReport, from string) {
+	now := p.Clock()
+	at := now - r.Age()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.limits[r.Process]
+	switch {
+	case l == nil:
+		p.add(now, r, at, from)
+		return
+	case at <= l.at:
+		return
+	case r.Ended != l.ended, !r.Ended && r.PerSecond != l.perSecond:
+		p.logChange(r, from)
+	}
+	switch {
+	case r.Ended:
+	case l.ended:
+		l.begin(now, r, max(now-r.Since(), l.at))
+	default:
+		l.since = min(l.since, now-r.Since())
+		l.perSecond = r.PerSecond
+		l.bucket.setRate(now, r.PerSecond)
+	}
+	l.at, l.ended = at, r.Ended
+}
+
+// begin begins a limit that the replica first named at the time since.
+func (l *limit) begin(now time.Duration, r fuchsiaspoke.LimitReport, since time.Duration) {
+	l.perSecond, l.since = r.PerSecond, since
+	l.bucket = newBucket(now, r.PerSecond, now-since)
+}
+
+// add adds a limit that was not known, and forgets those that are of no use any more. The end of an unknown limit is of no use either.
+func (p *Pacer) add(now time.Duration, r fuchsiaspoke.LimitReport, at time.Duration, from string) {
+	p.forget(now)
+	if r.Ended {
+		return
+	}
+	if p.limits == nil {
+		p.limits = make(map[uint64]*limit)
+	}
+	l := &limit{at: at}
+	l.begin(now, r, now-r.Since())
+	p.limits[r.Process] = l
+	p.logChange(r, from)
+}
+
+// forget removes old limits that have ended, or whose replica is not published any more.
+func (p *Pacer) forget(now time.Duration) {
+	published := make(map[uint64]bool)
+	for _, r := range p.Published().Replicas {
+		published[r.Incarnation().Hash()] = true
+	}
+	maps.DeleteFunc(p.limits, func(process uint64, l *limit) bool {
+		return now-l.at > retention && (l.ended || !published[process])
+	})
+}
+
+func (p *Pacer) logChange(r fuchsiaspoke.LimitReport, from string) {
+	event := "replica_limited"
+	if r.Ended {
+		event = "replica_limit_ended"
+	}
+	p.Count(event)
+	p.Log("replica limit", "replica", p.replicaID(r.Process), "per_second", r.PerSecond, "ended", r.Ended, "age_ms", r.AgeMs, "from", from)
+}
+
+// replicaID returns the id of a published replica, or "" if it is not published.
+func (p *Pacer) replicaID(process uint64) string {
+	for _, r := range p.Published().Replicas {
+		if r.Incarnation().Hash() == process {
+			return r.ID
+		}
+	}
+	return ""
+}
+
+// Report returns the limits for the next heartbeat. If there are more than fit, the reports name them in turn.
+func (p *Pacer) Report() []fuchsiaspoke.LimitReport {
+	now := p.Clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.limits) == 0 {
+		return nil
+	}
+	p.reported++
+	var out []fuchsiaspoke.LimitReport
+	for process, l := range p.limits {
+		if now-l.at <= retention {
+			out = append(out, l.report(now, process))
+		}
+	}
+	slices.SortFunc(out, func(a, b fuchsiaspoke.LimitReport) int { return cmp.Compare(a.Process, b.Process) })
+	return fuchsiaspoke.InTurn(out, p.reported, maxReported)
+}
+
+func (l *limit) report(now time.Duration, process uint64) fuchsiaspoke.LimitReport {
+	return fuchsiaspoke.LimitReport{
+		Process: process, PerSecond: l.perSecond, Ended: l.ended, AgeMs: fuchsiaspoke.Milliseconds(now - l.at),
+		SinceMs: fuchsiaspoke.Milliseconds(now - l.since),
+	}
+}
+
+// Take asks for the right to send one request to a replica. If it is denied, wait is the time after which this VM may ask again.
+func (p *Pacer) Take(ctx context.Context, i fuchsiaspoke.ReplicaIncarnation) (granted bool, wait time.Duration) {
+	report, limited := p.reportOf(i.Hash())
+	if !limited {
+		return true, 0
+	}
+	granter := p.granter(report.Process, "")
+	reply, err := fuchsiaspoke.LimitTokenReply{}, error(nil)
+	for range maxGranters {
+		if granter.ID == p.Self.ID {
+			reply = p.grant(report.Process, p.Self.ID)
+		} else if reply, err = p.ask(ctx, granter, report); err != nil {
+			p.Count("limit_token_not_answered")
+			p.Log("limit token not answered", "replica", i.ID, "granter", granter.ID, "error", err.Error())
+			return false, callFailureWait
+		}
+		if reply.Granter == "" || reply.Granter == granter.ID {
+			break
+		}
+		granter = p.granter(report.Process, reply.Granter)
+		reply = fuchsiaspoke.LimitTokenReply{Wait: callFailureWait}
+	}
+	p.countReply(i, granter, reply)
+	return reply.Granted, reply.Wait
+}
+
+func (p *Pacer) countReply(i fuchsiaspoke.ReplicaIncarnation, granter fuchsiaspoke.VM, reply fuchsiaspoke.LimitTokenReply) {
+	if reply.Granted {
+		p.Count("limit_token_granted")
+		return
+	}
+	p.Count("limit_token_denied")
+	p.Log("limit token denied", "replica", i.ID, "granter", granter.ID, "per_second", reply.Limit.PerSecond, "wait_ms", reply.Wait.Milliseconds())
+}
+
+// reportOf returns what is known of a replica's limit, and whether one is in force.
+func (p *Pacer) reportOf(process uint64) (fuchsiaspoke.LimitReport, bool) {
+	now := p.Clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.limits[process]
+	if l == nil {
+		return fuchsiaspoke.LimitReport{Process: process, Ended: true}, false
+	}
+	return l.report(now, process), !l.ended
+}
+
+// granterKey is the key by which VMs are ranked as those that grant a replica's tokens; it must be the same on all VMs.
+func granterKey(process uint64) string { return "tokens of " + strconv.FormatUint(process, 16) }
+
+// granter returns the VM of the given id, or if that is empty the one that grants a replica's tokens; its id is empty if there is none.
+func (p *Pacer) granter(process uint64, id string) fuchsiaspoke.VM {
+	var first fuchsiaspoke.VM
+	key, highest := granterKey(process), uint64(0)
+	for _, vm := range p.Granters() {
+		if vm.ID == id {
+			return vm
+		}
+		if w := ranker.Weight(key, vm.ID); id == "" && (first.ID == "" || w > highest) {
+			first, highest = vm, w
+		}
+	}
+	return first
+}
+
+// ask asks another VM for a token.
+func (p *Pacer) ask(ctx context.Context, granter fuchsiaspoke.VM, report fuchsiaspoke.LimitReport) (fuchsiaspoke.LimitTokenReply, error) {
+	if granter.ID == "" {
+		return fuchsiaspoke.LimitTokenReply{}, errors.New("no VM grants the replica's tokens")
+	}
+	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+	defer cancel()
+	var reply fuchsiaspoke.LimitTokenReply
+	err := p.Dialer.Call(ctx, granter, MethodToken, fuchsiaspoke.LimitTokenRequest{Limit: report}, func(raw cbor.RawMessage) error {
+		return cbor.Unmarshal(raw, &reply)
+	})
+	if err != nil {
+		return fuchsiaspoke.LimitTokenReply{}, err
+	}
+	p.merge(reply.Limit, granter.ID)
+	return reply, nil
+}
+
+// Serve handles MethodToken calls of other VMs.
+func (p *Pacer) Serve(_ context.Context, from string, request frame.Frame, send func(any) error) error {
+	var asked fuchsiaspoke.LimitTokenRequest
+	if err := cbor.Unmarshal(request.Body, &asked); err != nil {
+		return errors.Wrap(err, "decode token request")
+	}
+	p.merge(asked.Limit, from)
+	if granter := p.granter(asked.Limit.Process, ""); granter.ID != p.Self.ID && granter.ID != "" {
+		return send(fuchsiaspoke.LimitTokenReply{Granter: granter.ID, Wait: callFailureWait, Limit: asked.Limit})
+	}
+	return send(p.grant(asked.Limit.Process, from))
+}
+
+// grant takes a token out of a replica's bucket for a VM.
+func (p *Pacer) grant(process uint64, vm string) fuchsiaspoke.LimitTokenReply {
+	now := p.Clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.limits[process]
+	if l == nil || l.ended {
+		return fuchsiaspoke.LimitTokenReply{Granted: true, Limit: fuchsiaspoke.LimitReport{Process: process, Ended: true, AgeMs: endedAge(now, l)}}
+	}
+	wait := l.bucket.take(now, vm)
+	return fuchsiaspoke.LimitTokenReply{Granted: wait == 0, Wait: wait, Limit: l.report(now, process)}
+}
+
+// endedAge returns the age of the end of a limit. Of an unknown limit it is that of this VM, which no evidence precedes.
+func endedAge(now time.Duration, l *limit) uint32 {
+	if l == nil {
+		return fuchsiaspoke.Milliseconds(now)
+	}
+	return fuchsiaspoke.Milliseconds(now - l.at)
+}
--- a/upstream/permitter/permitter.go
+++ b/upstream/permitter/permitter.go
@@ -1,8 +1,11 @@
 // Package permitter decides whether this VM may send to a replica now, and if not, from when on. All senders ask it: requests,
 // retries, orders and reports.
+//
+// Limits of requests that replicas name hold for requests alone: orders and reports are few, and an engine's owner must follow its state.
 package permitter
 
 import (
+	"context"
 	"maps"
 	"sync"
 	"time"
@@ -10,11 +13,21 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 )
 
-// Permitter knows which replicas drain and which have asked this VM to pause. All fields must be set before the first call.
+// limits keeps the limits that replicas name, for all VMs together.
+type limits interface {
+	Name(r fuchsiaspoke.Replica, perSecond float64)
+	End(r fuchsiaspoke.Replica, sentAt time.Duration)
+	Limited(i fuchsiaspoke.ReplicaIncarnation) bool
+	// Take asks for the right to send one request; wait is the time until this VM may ask again.
+	Take(ctx context.Context, i fuchsiaspoke.ReplicaIncarnation) (granted bool, wait time.Duration)
+}
+
+// Permitter knows which replicas drain, which have asked this VM to pause and which have a limit. All exported fields must be set before the first call.
 type Permitter struct {
 	Published func() *fuchsiaspoke.PublishedState
 	// MarkDraining records that a replica drains; Published then shows it as draining.
 	MarkDraining func(fuchsiaspoke.ReplicaIncarnation)
+	Limits       limits
 	Clock        func() time.Duration
 	Log          func(event string, keysAndValues ...any)
 	// Count counts an event by its name.
@@ -23,9 +36,20 @@
 	mu sync.Mutex
 	// pausedUntil ends with a replica's process: another one at its address is not in it.
 	pausedUntil map[fuchsiaspoke.ReplicaIncarnation]time.Duration
+	// deniedUntil is when this VM may ask again for the right to send a request to a limited replica.
+	deniedUntil map[fuchsiaspoke.ReplicaIncarnation]time.Duration
 }
 
-// Observe records what a replica said of itself in a response to this VM.
+// ObserveAnswer records what a replica said of itself in the response to a request that was sent at a time.
+func (p *Permitter) ObserveAnswer(r fuchsiaspoke.Replica, n fuchsiaspoke.ReplicaNotice, sentAt time.Duration) {
+	p.Observe(r, n)
+	if n.Limit == nil && !n.LimitUnreadable {
+		p.Limits.End(r, sentAt)
+	}
+}
+
+// Observe records what a replica said of itself in a response to this VM, which may be that to an order or a report call: those need not
+// name a limit.
 func (p *Permitter) Observe(r fuchsiaspoke.Replica, n fuchsiaspoke.ReplicaNotice) {
 	if n.Fault != nil {
 		p.Log("replica notice not usable", "replica", r.ID, "address", r.Address, "error", n.Fault.Error())
@@ -37,34 +61,82 @@
 		p.pause(r, n.Pause)
 	}
 	if n.Limit != nil {
-		p.Count("replica_limit_named")
-		p.Log("replica names a limit", "replica", r.ID, "address", r.Address, "per_second", *n.Limit)
+		p.Limits.Name(r, *n.Limit)
 	}
 }
 
-// pause extends the pause of a replica. It forgets pauses that have ended.
+// pause extends the pause of a replica.
 func (p *Permitter) pause(r fuchsiaspoke.Replica, d time.Duration) {
-	now := p.Clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.pausedUntil, func(_ fuchsiaspoke.ReplicaIncarnation, until time.Duration) bool { return until <= now })
-	if p.pausedUntil == nil {
-		p.pausedUntil = make(map[fuchsiaspoke.ReplicaIncarnation]time.Duration)
-	}
-	known := p.pausedUntil[r.Incarnation()]
-	if known == 0 {
+	if until(p.pausedUntil, r) <= p.Clock() {
 		p.Count("replica_paused")
 		p.Log("replica paused", "replica", r.ID, "address", r.Address, "pause_ms", d.Milliseconds())
 	}
-	p.pausedUntil[r.Incarnation()] = max(known, now+d)
+	extend(&p.pausedUntil, r, p.Clock(), d)
+}
+
+// extend has a time in times last for d at least. It forgets those that have ended.
+func extend(times *map[fuchsiaspoke.ReplicaIncarnation]time.Duration, r fuchsiaspoke.Replica, now, d time.Duration) {
+	maps.DeleteFunc(*times, func(_ fuchsiaspoke.ReplicaIncarnation, until time.Duration) bool { return until <= now })
+	if *times == nil {
+		*times = make(map[fuchsiaspoke.ReplicaIncarnation]time.Duration)
+	}
+	(*times)[r.Incarnation()] = max(until(*times, r), now+d)
+}
+
+func until(times map[fuchsiaspoke.ReplicaIncarnation]time.Duration, r fuchsiaspoke.Replica) time.Duration {
+	return times[r.Incarnation()]
 }
 
 // MaySend reports whether this VM may send to the replica now: it is published as ready, has neither restarted nor moved, has not
-// reported that it drains, and has not asked this VM to pause.
+// reported that it drains, has not asked this VM to pause, and its limit has not kept a request of this VM back a moment ago.
 func (p *Permitter) MaySend(r fuchsiaspoke.Replica) bool {
+	return p.isReady(r) && p.wait(r) == 0
+}
+
+// MayCall reports whether this VM may send reports and orders to the replica now, for which its limit does not count.
+func (p *Permitter) MayCall(r fuchsiaspoke.Replica) bool {
 	return p.isReady(r) && p.Pause(r) == 0
 }
 
+// Take reports whether this VM may send one request to the replica now. If the replica has a limit, that uses a part of it.
+func (p *Permitter) Take(ctx context.Context, r fuchsiaspoke.Replica) bool {
+	if !p.MaySend(r) {
+		return false
+	}
+	granted, wait := p.Limits.Take(ctx, r.Incarnation())
+	if !granted {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		extend(&p.deniedUntil, r, p.Clock(), wait)
+	}
+	return granted
+}
+
+// LimitWait returns how much longer the replica's limit keeps back requests of this VM, as far as it is known.
+func (p *Permitter) LimitWait(r fuchsiaspoke.Replica) time.Duration {
+	p.mu.Lock()
+	wait := max(until(p.deniedUntil, r)-p.Clock(), 0)
+	p.mu.Unlock()
+	if wait > 0 && !p.Limits.Limited(r.Incarnation()) {
+		return 0
+	}
+	return wait
+}
+
+// AnyLimitReached reports whether the limit of any replica has kept back requests of this VM lately.
+func (p *Permitter) AnyLimitReached() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.deniedUntil) > 0
+}
+
+// wait returns how much longer this VM may send no request to the replica.
+func (p *Permitter) wait(r fuchsiaspoke.Replica) time.Duration {
+	return max(p.Pause(r), p.LimitWait(r))
+}
+
 func (p *Permitter) isReady(r fuchsiaspoke.Replica) bool {
 	for _, current := range p.Published().Replicas {
 		if current.ID == r.ID {
@@ -78,31 +150,31 @@
 func (p *Permitter) Pause(r fuchsiaspoke.Replica) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(p.pausedUntil[r.Incarnation()]-p.Clock(), 0)
+	return max(until(p.pausedUntil, r)-p.Clock(), 0)
 }
 
 // Ready returns the replicas of a service to which this VM may send now, in no particular order.
 func (p *Permitter) Ready(service string) []fuchsiaspoke.Replica {
 	var out []fuchsiaspoke.Replica
 	for _, r := range p.Published().ReadyReplicas(service) {
-		if p.Pause(r) == 0 {
+		if p.wait(r) == 0 {
 			out = append(out, r)
 		}
 	}
 	return out
 }
 
-// ResumesIn returns the time until the first replica of a service ends its pause; 0 if this VM may send to one now, or if none is
+// ResumesIn returns the time until the first replica of a service takes requests of this VM again; 0 if this VM may send to one now, or if none is
 // ready.
 func (p *Permitter) ResumesIn(service string) time.Duration {
 	soonest := time.Duration(0)
 	for _, r := range p.Published().ReadyReplicas(service) {
-		pause := p.Pause(r)
-		if pause == 0 {
+		wait := p.wait(r)
+		if wait == 0 {
 			return 0
 		}
-		if soonest == 0 || pause < soonest {
-			soonest = pause
+		if soonest == 0 || wait < soonest {
+			soonest = wait
 		}
 	}
 	return soonest
--- a/vm/entry/engines.go
+++ b/vm/entry/engines.go
@@ -135,7 +135,7 @@
 func (e *Entry) readOrderCount(ctx context.Context, r fuchsiaspoke.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if !e.permitter.MaySend(r) {
+	if !e.permitter.MayCall(r) {
 		return
 	}
 	sentAt := e.timer.Now()
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/keyring"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/controller"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/finder"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/pacer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/permitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/quarantiner"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
@@ -101,6 +102,7 @@
 	membership     membership.Membership
 	exchanger      exchanger.Exchanger
 	tracker        tracker.Tracker
+	pacer          *pacer.Pacer
 	permitter      *permitter.Permitter
 	quarantiner    *quarantiner.Quarantiner
 	transport      transport.Transport
@@ -204,8 +206,11 @@
 		Platform: e.Platform.Publisher, Clock: e.timer.Now, PropagationLimit: e.Bounds.DrainLimit,
 		Reader: fuchsiaspoke.ReaderID(e.incarnation), IsReader: e.isReader, Log: e.Log, Count: e.CountEvent,
 	}
+	e.pacer = &pacer.Pacer{
+		Self: e.VM, Granters: e.granters, Published: e.watcher.Published, Dialer: e.dialer, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
+	}
 	e.permitter = &permitter.Permitter{
-		Published: e.watcher.Published, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
+		Published: e.watcher.Published, Limits: e.pacer, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
 		MarkDraining: func(i fuchsiaspoke.ReplicaIncarnation) { e.watcher.MarkDraining(i, e.VM.ID) },
 	}
 	e.quarantiner = &quarantiner.Quarantiner{
@@ -253,6 +258,7 @@
 	a.Handle(requester.MethodProgress, e.requester.ServeProgress)
 	a.Handle(methodPublished, e.servePublished)
 	a.Handle(finder.MethodRank, e.finder.Serve)
+	a.Handle(pacer.MethodToken, e.pacer.Serve)
 	a.Handle(registrar.MethodRecord, e.registrar.ServeRecord)
 	a.Handle(registrar.MethodOrigin, e.registrar.ServeOrigin)
 	return a
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -85,7 +85,7 @@
 		Draining:       e.Leaving(),
 		AdmittedTokens: admittedTokens, BucketLevels: bucketLevels, Acks: acks, RateShare: rateShare,
 		Revision: p.Revision, Reading: p.Reading.WithAge(now - p.ReadAt).Report(), Engines: e.requester.Views(),
-		DrainingReplicas: e.drainingReplicas(number), Evidence: e.quarantiner.Report().Report(),
+		DrainingReplicas: e.drainingReplicas(number), Evidence: e.quarantiner.Report().Report(), Limits: e.pacer.Report(),
 	}
 	if p.Contract != nil {
 		s.ContractVersion = p.Contract.Version
@@ -131,6 +131,7 @@
 	if s.Evidence != nil {
 		e.quarantiner.Merge(*s.Evidence, s.VM.ID)
 	}
+	e.pacer.Merge(s.Limits, s.VM.ID)
 	e.observeRates(now, s)
 	if query, needed := e.watcher.ObservePeer(s); needed && e.pullRunning.CompareAndSwap(false, true) {
 		go e.pullPublished(s, query)
@@ -173,7 +174,22 @@
 
 // recordKeepers returns the VMs that may keep records of streams: the hubs that are reachable, and this VM.
 func (e *Entry) recordKeepers() []fuchsiaspoke.VM {
-	out := []fuchsiaspoke.VM{e.VM}
+	return append([]fuchsiaspoke.VM{e.VM}, e.reachableHubs()...)
+}
+
+// granters returns the VMs that may grant tokens of limited replicas: the hubs that are reachable.
+func (e *Entry) granters() []fuchsiaspoke.VM {
+	var out []fuchsiaspoke.VM
+	hubs := e.exchanger.Role().Hubs
+	if hubs[e.VM.ID] && !e.Leaving() {
+		out = append(out, e.VM)
+	}
+	return append(out, e.reachableHubs()...)
+}
+
+// reachableHubs returns the other VMs that are hubs and reachable.
+func (e *Entry) reachableHubs() []fuchsiaspoke.VM {
+	var out []fuchsiaspoke.VM
 	hubs := e.exchanger.Role().Hubs
 	for _, p := range e.membership.Reachable(e.timer.Now()) {
 		if hubs[p.VM.ID] {
--- a/vm/sender/admission.go
+++ b/vm/sender/admission.go
@@ -71,15 +71,15 @@
 	return nil, fuchsiaspoke.Replica{}, t.refuseWithoutAdmission(earliest, anyOwned)
 }
 
-// excludedEngines returns the engines that may not be sent to: those that were tried, and those of other software versions than that of
-// a stream that has begun.
+// excludedEngines returns the engines that may not be sent to: those that were tried, those whose limit is reached, and those of other
+// software versions than that of a stream that has begun.
 func (t *requestTask) excludedEngines(position *streamPosition) map[string]bool {
-	if position == nil {
+	if position == nil && !t.Permitter.AnyLimitReached() {
 		return t.triedReplicas
 	}
 	out := maps.Clone(t.triedReplicas)
 	for _, r := range t.Published().ReadyReplicas(t.request.Service) {
-		if position.mayGoOnAt(r) {
+		if position.mayGoOnAt(r) && t.Permitter.LimitWait(r) == 0 {
 			continue
 		}
 		if out == nil {
@@ -115,7 +115,7 @@
 func (t *requestTask) refuseWithoutAdmission(refusal *fuchsiaspoke.Refusal, anyOwned bool) error {
 	switch {
 	case t.Permitter.ResumesIn(t.request.Service) > 0:
-		return t.refuse(http.StatusServiceUnavailable, "all engines want a pause")
+		return t.refuse(http.StatusServiceUnavailable, "all engines want a pause or have reached their limits")
 	case refusal != nil && !t.outcomeUnknown && !t.executed:
 		return refusal
 	case !anyOwned:
@@ -125,16 +125,20 @@
 	}
 }
 
-// acquireFromReadyEngine requests admission to one engine, and releases it if the engine may not be sent to any more after the wait.
+// acquireFromReadyEngine requests admission to one engine, and releases it if the engine takes no request any more after the wait.
 func (t *requestTask) acquireFromReadyEngine(
 	ctx context.Context, choice selector.Choice, maxWait time.Duration,
 ) (*requester.Admission, error) {
 	admission, err := t.requestAdmission(ctx, choice, maxWait)
-	if err != nil || t.Permitter.MaySend(choice.Replica) && isSameProcess(admission, choice.Replica) {
-		return admission, err
+	if err != nil {
+		return nil, err
+	}
+	if isSameProcess(admission, choice.Replica) && t.Permitter.Take(ctx, choice.Replica) {
+		return admission, nil
 	}
 	admission.Release()
-	t.Log("admission released", "request", t.request.ID, "engine", choice.Replica.ID, "reason", "engine is no longer ready or wants a pause")
+	t.Log("admission released", "request", t.request.ID, "engine", choice.Replica.ID,
+		"reason", "engine is no longer ready, wants a pause or has reached its limit")
 	return nil, errReplicaNotReady
 }
 
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -165,7 +165,7 @@
 		t.recordCrash(a, err)
 		return &outcome{err: err, notSent: notSent(err), done: t.callerCtx.Err() != nil}
 	}
-	info := t.interpretHead(a.replica, response)
+	info := t.interpretHead(a.replica, response, a.started)
 	if !info.NotRun && info.Forwardable && response.Status == http.StatusOK {
 		t.sendCount++
 		t.executed = true
--- a/vm/sender/plain.go
+++ b/vm/sender/plain.go
@@ -15,12 +15,12 @@
 func (t *requestTask) servePlain(ctx context.Context) error {
 	var last *reply
 	for {
-		ranked := t.Tracker.Rank(t.Clock(), t.untriedReplicas())
-		if len(ranked) == 0 || t.Clock() > t.sendDeadline-minSendTime {
+		replica, found := t.nextReplica(ctx)
+		if !found || t.Clock() > t.sendDeadline-minSendTime {
 			return t.finalResponse(ctx, last, "no replica left to try before the deadline")
 		}
-		r, err := t.attemptWhole(ctx, ranked[0])
-		t.markTried(ranked[0].ID)
+		r, err := t.attemptWhole(ctx, replica)
+		t.markTried(replica.ID)
 		if t.callerCtx.Err() != nil {
 			return ErrCallerDisconnected
 		}
@@ -44,6 +44,16 @@
 	}
 }
 
+// nextReplica returns the best replica that was not tried yet and takes a request now, and whether there is one.
+func (t *requestTask) nextReplica(ctx context.Context) (fuchsiaspoke.Replica, bool) {
+	for _, r := range t.Tracker.Rank(t.Clock(), t.untriedReplicas()) {
+		if t.Permitter.Take(ctx, r) {
+			return r, true
+		}
+	}
+	return fuchsiaspoke.Replica{}, false
+}
+
 // latestExecutedReply returns r, or last if the replica of r did not run the request. The result is relayed to the caller if no
 // further attempt succeeds.
 func latestExecutedReply(last, r *reply) *reply {
@@ -83,7 +93,7 @@
 		return nil, err
 	}
 	defer response.Close()
-	info := t.interpretHead(r, response)
+	info := t.interpretHead(r, response, started)
 	body, err := readBody(response)
 	t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
 	if err == nil && !info.Forwardable && !info.NotRun {
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -310,10 +310,13 @@
 	return "replica"
 }
 
-// interpretHead interprets the head of a response, and records what the replica says of itself in it.
-func (t *requestTask) interpretHead(r fuchsiaspoke.Replica, response *transport.Response) fuchsiaspoke.ResponseInfo {
+// interpretHead interprets the head of a response to the request, and records what the replica says of itself in it. A misdirected request
+// was answered by another replica.
+func (t *requestTask) interpretHead(r fuchsiaspoke.Replica, response *transport.Response, sentAt time.Duration) fuchsiaspoke.ResponseInfo {
 	info := t.Protocol.InterpretHead(t.request, response.Status, response.Header)
-	t.Permitter.Observe(r, info.Notice)
+	if !info.Misdirected {
+		t.Permitter.ObserveAnswer(r, info.Notice, sentAt)
+	}
 	return info
 }
 
--- a/vm/sender/sender_test.go
+++ b/vm/sender/sender_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/finder"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/pacer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/permitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/quarantiner"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
@@ -47,7 +48,9 @@
 
 // newPermitter returns a permitter that knows what the sender knows.
 func newPermitter(s *sender.Sender) *permitter.Permitter {
+	limits := &pacer.Pacer{Published: s.Published, Clock: s.Clock, Log: func(string, ...any) {}, Count: func(string) {}}
 	return &permitter.Permitter{
+		Limits:    limits,
 		Published: s.Published, MarkDraining: func(fuchsiaspoke.ReplicaIncarnation) {}, Clock: s.Clock, Log: s.Log, Count: func(string) {},
 	}
 }
--- a/vm/sender/takeover.go
+++ b/vm/sender/takeover.go
@@ -68,11 +68,15 @@
 
 // askOther sends the request to another replica, if there is one and the retry budget allows it, and reads its complete response.
 func (t *requestTask) askOther(ctx context.Context) *attempt {
-	ranked := t.Tracker.Rank(t.Clock(), t.untriedReplicas())
-	if len(ranked) == 0 || !t.takeRetry(false) {
+	if len(t.untriedReplicas()) == 0 || !t.takeRetry(false) {
 		return nil
 	}
-	a := newAttempt(ctx, ranked[0], nil)
+	replica, found := t.nextReplica(ctx)
+	if !found {
+		t.RetryBudget.Return(t.request.Service)
+		return nil
+	}
+	a := newAttempt(ctx, replica, nil)
 	a.started = t.Clock()
 	t.markTried(a.replica.ID)
 	response, err := t.exchangeWhole(a.ctx, a.replica)
--- a/vm_state.go
+++ b/vm_state.go
@@ -39,18 +39,21 @@
 	// WantsAnswer reports that the sender takes the receiver for a hub and waits for its heartbeats.
 	WantsAnswer bool `cbor:"18,keyasint,omitempty"`
 	// Continuation reports that this is a further datagram of a heartbeat, without AdmittedTokens, BucketLevels, Acks, Reading,
-	// DrainingReplicas and Evidence.
+	// DrainingReplicas, Evidence and Limits.
 	Continuation bool `cbor:"19,keyasint,omitempty"`
 	// DrainingReplicas are replicas that have reported that they drain, a part of them in each heartbeat.
 	DrainingReplicas []ReplicaIncarnation `cbor:"21,keyasint,omitempty"`
 	// Evidence is what the VM knows of parts of prompts on which engines crash, a part of it in each heartbeat; nil if there is none.
 	Evidence *PromptEvidence `cbor:"23,keyasint,omitempty"`
+	// Limits are limits of requests that replicas name, a part of them in each heartbeat.
+	Limits []LimitReport `cbor:"24,keyasint,omitempty"`
 }
 
 // AsContinuation returns the state for a further datagram of the same heartbeat.
 func (s VMState) AsContinuation() VMState {
 	s.Continuation = true
-	s.AdmittedTokens, s.BucketLevels, s.Acks, s.Reading, s.DrainingReplicas, s.Evidence = nil, nil, nil, nil, nil, nil
+	s.AdmittedTokens, s.BucketLevels, s.Acks, s.Reading = nil, nil, nil, nil
+	s.DrainingReplicas, s.Evidence, s.Limits = nil, nil, nil
 	return s
 }
 
