Logs name the content of a request whose send failed

'send failed' now has the hash of what a request is (method, host, target, client account, model, prompt, body), the same at all VMs. No decision rests on it.

--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -122,7 +122,10 @@
 	limit := min(req.Deadline, req.Arrived+req.Route.Timeout) - responseMargin
 	inner, cancel := context.WithTimeoutCause(ctx, max(limit-s.Clock(), 0), errRequestTimeout)
 	defer cancel()
-	t := &requestTask{Sender: s, request: req, message: m, out: out, sendDeadline: limit, callerCtx: ctx}
+	t := &requestTask{
+		Sender: s, request: req, message: m, out: out, sendDeadline: limit, callerCtx: ctx,
+		content: fuchsiaspoke.NewRequestTrait(req.Account, req.Demand, m),
+	}
 	if refusal := t.findOrigin(inner); refusal != nil {
 		return refusal
 	}
@@ -151,11 +154,13 @@
 // requestTask is one request with the state of its attempts.
 type requestTask struct {
 	*Sender
-	request       fuchsiaspoke.AdmittedRequest
-	message       fuchsiaspoke.Message
-	out           responseWriter
-	sendDeadline  time.Duration
-	callerCtx     context.Context
+	request      fuchsiaspoke.AdmittedRequest
+	message      fuchsiaspoke.Message
+	out          responseWriter
+	sendDeadline time.Duration
+	callerCtx    context.Context
+	// content is the trait that the request has in common with others of the same content.
+	content       fuchsiaspoke.Trait
 	triedReplicas map[string]bool
 	// sendCount counts the sends that may have reached a replica.
 	sendCount int
@@ -287,7 +292,7 @@
 	}
 	t.Log("send failed", "request", t.request.ID, "replica", r.ID, "address", r.Address, "not_sent", notSent(err),
 		"caller_left", t.callerCtx.Err() != nil, "took_ms", (t.Clock() - started).Milliseconds(), "ended_by", t.endedBy(ctx),
-		"parts", partIDs(t.request.Demand), "error", err.Error())
+		"content", t.content.String(), "parts", partIDs(t.request.Demand), "error", err.Error())
 }
 
 // partIDs returns the ids of the prompt's parts.
