One request on which replicas crash again and again is no longer sent

Cause: evidence of crashes was kept of parts of prompts alone. A request to a plain service has none, so it was never suspected (hypothesis 1; with the content logged, one content stands under 32 failed sends and all others under three or fewer). Hypothesis 2 added to it: after a crash it was sent on to a second replica each time. Hypothesis 3 would have kept it alive: crashes 0.2 s apart counted as one, and the three replicas end within 0.17 s. Ruled out: 4, ends of other causes.

Change: a request is one more trait in upstream/quarantiner, beside the parts of its prompt, named by a hash of method, host, target, client account, model, prompt and body. Any whole answer clears it; plain replicas' ends and answers are evidence too. Its crashes need not be apart. Under two crashes it isn't sent on, under three it is refused while news settles, then held at all VMs for five minutes. A held request explains its crashes for others only until two more come without it, since a fatal part ends three engines under the first request that has it.

--- a/refusal.go
+++ b/refusal.go
@@ -42,7 +42,8 @@
 	CodeAdapterLoadFailed   RefusalCode = "adapter_load_failed"
 	CodeProfileVersionMoved RefusalCode = "profile_version_moved"
 	CodeNotResumable        RefusalCode = "stream_not_resumable"
-	CodeQuarantined         RefusalCode = "prompt_part_quarantined"
+	CodePartQuarantined     RefusalCode = "prompt_part_quarantined"
+	CodeRequestQuarantined  RefusalCode = "request_quarantined"
 )
 
 // Refusal is an error response that this system, not the upstream, gives to a caller.
--- a/trait.go
+++ b/trait.go
@@ -43,6 +43,15 @@
 	return Trait{Hash: binary.BigEndian.Uint64(h.Sum(nil)) | contentBit, Index: math.MaxUint8}
 }
 
+// Traits returns the traits of a request: the parts of its prompt, and last the request itself.
+func Traits(r AdmittedRequest, m Message) []Trait {
+	out := make([]Trait, 0, len(r.Demand.Parts)+1)
+	for i, part := range r.Demand.Parts {
+		out = append(out, NewPartTrait(part.ID, i))
+	}
+	return append(out, NewRequestTrait(r.Account, r.Demand, m))
+}
+
 // IsRequest reports whether the trait is that of one request that comes again.
 func (t Trait) IsRequest() bool { return IsRequestHash(t.Hash) }
 
--- a/upstream/quarantiner/fleet_test.go
+++ b/upstream/quarantiner/fleet_test.go
@@ -21,11 +21,13 @@
 	restartTime = 3 * time.Second
 	// crashesToKnow, knownAfter and maxFatalSends are the users' limit: that many requests with a part may be sent later than knownAfter
 	// after that many crashes. Fleets with leaves have longer, as news takes more steps.
-	crashesToKnow   = 5
-	knownAfter      = 3 * time.Second
-	knownAfterLarge = 4 * time.Second
-	maxFatalSends   = 3
-	smallFleet      = 12
+	crashesToKnow = 5
+	// crashesOfRequest is crashesToKnow of one request that comes again.
+	crashesOfRequest = 3
+	knownAfter       = 3 * time.Second
+	knownAfterLarge  = 4 * time.Second
+	maxFatalSends    = 3
+	smallFleet       = 12
 	// soundFirst and soundSecond are the numbers of first and second parts of sound prompts.
 	soundFirst, soundSecond = 3, 22
 	fatal                   = "fatal"
@@ -39,6 +41,11 @@
 	fatalFirst                     bool
 	// fatalLast means that the same request comes again and again, whose parts but for the last are sound.
 	fatalLast bool
+	// fatalContent means that the same request comes again and again, all of whose parts are sound. Of such a request fewer crashes are
+	// allowed.
+	fatalContent bool
+	// callerRepeats is how often the callers of a fatal request repeat it, at other VMs, after half a second.
+	callerRepeats int
 	// otherCrashes are crashes a second of other causes, and massCrash the number of engines that end at once after 5 s.
 	otherCrashes float64
 	massCrash    int
@@ -55,9 +62,10 @@
 	vms     []*quarantiner.Quarantiner
 	engines []*engine
 	logs    []string
-	// pending are requests that have not begun.
-	pending []*request
-	number  int
+	// pending are requests that have not begun, and returning those that their callers repeat.
+	pending   []*request
+	returning []returningRequest
+	number    int
 
 	crashes      []time.Duration
 	fatalSends   []time.Duration
@@ -70,9 +78,15 @@
 	downUntil   time.Duration
 }
 
+// returningRequest is a request that its caller sends once more.
+type returningRequest struct {
+	*request
+	at time.Duration
+}
+
 type request struct {
 	vm, engine int
-	demand     fuchsiaspoke.Demand
+	traits     []fuchsiaspoke.Trait
 	fatal      bool
 	begins     time.Duration
 	repeated   bool
@@ -108,8 +122,19 @@
 			}
 		}
 		if f.arrives(f.fatalPerSecond) {
-			f.send(f.fatalRequest())
+			r := f.fatalRequest()
+			for n := range f.callerRepeats {
+				again := &request{vm: f.rng.IntN(len(f.vms)), traits: r.traits, fatal: true}
+				f.returning = append(f.returning, returningRequest{again, f.now + time.Duration(n+1)*500*time.Millisecond})
+			}
+			f.send(r)
 		}
+		f.returning = slices.DeleteFunc(f.returning, func(r returningRequest) bool {
+			if r.at <= f.now {
+				f.send(r.request)
+			}
+			return r.at <= f.now
+		})
 		if f.arrives(f.otherCrashes) {
 			f.crash(f.rng.IntN(len(f.engines)))
 		}
@@ -139,29 +164,31 @@
 	if f.fatalFirst {
 		parts = []string{fatal, fmt.Sprint("second", f.rng.IntN(soundSecond))}
 	}
-	if f.fatalLast {
-		parts = []string{"first0", "second0"}
-	}
 	r := f.newRequest(parts...)
-	if f.fatalLast {
-		r.demand.Parts[len(r.demand.Parts)-1].ID = fatal
+	switch {
+	case f.fatalLast:
+		r.traits = traitsOf("", "first0", "second0", fatal)
+	case f.fatalContent:
+		r.traits = traitsOf(fatal, "first0", "second0")
 	}
 	r.fatal = true
 	return r
 }
 
+// traitsOf returns the traits of a request with a body and parts.
+func traitsOf(body string, parts ...string) []fuchsiaspoke.Trait {
+	return fuchsiaspoke.Traits(fuchsiaspoke.AdmittedRequest{Demand: demandOf(parts...)}, fuchsiaspoke.Message{Body: []byte(body)})
+}
+
 func (f *fleetSimulation) newRequest(shared ...string) *request {
 	f.number++
-	r := &request{vm: f.rng.IntN(len(f.vms))}
-	for _, id := range append(shared, fmt.Sprint("own", f.number)) {
-		r.demand.Parts = append(r.demand.Parts, fuchsiaspoke.PromptPart{ID: id, Tokens: 100})
-	}
-	return r
+	traits := traitsOf("", append(shared, fmt.Sprint("own", f.number))...)
+	return &request{vm: f.rng.IntN(len(f.vms)), traits: traits}
 }
 
 // send sends a request to an engine that is up, unless its prompt is refused.
 func (f *fleetSimulation) send(r *request) bool {
-	if f.vms[r.vm].Admit(r.demand).Part != "" {
+	if f.vms[r.vm].Admit(r.traits).Held {
 		return false
 	}
 	up := slices.DeleteFunc(slices.Collect(func(yield func(int) bool) {
@@ -192,7 +219,7 @@
 			continue
 		}
 		f.pending = f.pending[1:]
-		f.vms[r.vm].RecordBegin(r.demand)
+		f.vms[r.vm].RecordBegin(r.traits)
 	}
 }
 
@@ -213,10 +240,10 @@
 		return r.engine == n
 	})
 	for _, r := range lost {
-		f.vms[r.vm].RecordCrash(incarnation, r.demand)
+		f.vms[r.vm].RecordCrash(incarnation, r.traits)
 	}
 	for _, r := range lost {
-		if !r.repeated && !f.vms[r.vm].Suspected(r.demand) {
+		if !r.repeated && !f.vms[r.vm].Suspected(r.traits) {
 			r.repeated = true
 			f.send(r)
 		}
@@ -246,12 +273,16 @@
 
 // lateFatalSends counts the requests with the fatal part that were sent after it must be known.
 func (f *fleetSimulation) lateFatalSends() int {
-	if len(f.crashes) < crashesToKnow {
+	last := crashesToKnow - 1
+	if f.fatalContent || f.fatalLast {
+		last = crashesOfRequest - 1
+	}
+	if len(f.crashes) <= last {
 		return 0
 	}
-	known := f.crashes[crashesToKnow-1] + knownAfter
+	known := f.crashes[last] + knownAfter
 	if len(f.vms) > smallFleet {
-		known = f.crashes[crashesToKnow-1] + knownAfterLarge
+		known = f.crashes[last] + knownAfterLarge
 	}
 	n := 0
 	for _, at := range f.fatalSends {
@@ -280,8 +311,15 @@
 	small := scenario{vms: 7, engines: 12, soundPerSecond: 50, fatalPerSecond: 2, duration: 40 * time.Second}
 	large := scenario{vms: 80, engines: 60, soundPerSecond: 90, fatalPerSecond: 5, duration: 40 * time.Second}
 	for name, change := range map[string]func(s scenario) scenario{
-		"second part":               func(s scenario) scenario { return s },
-		"first part":                func(s scenario) scenario { s.fatalFirst = true; return s },
+		"second part":         func(s scenario) scenario { return s },
+		"first part":          func(s scenario) scenario { s.fatalFirst = true; return s },
+		"same content":        func(s scenario) scenario { s.fatalContent = true; return s },
+		"same content, often": func(s scenario) scenario { s.fatalContent = true; s.fatalPerSecond *= 8; return s },
+		"same content, few replicas": func(s scenario) scenario {
+			s.fatalContent, s.engines, s.soundPerSecond = true, 3, 20
+			return s
+		},
+		"callers repeat":            func(s scenario) scenario { s.callerRepeats = 2; return s },
 		"same request":              func(s scenario) scenario { s.fatalLast = true; return s },
 		"rare":                      func(s scenario) scenario { s.fatalPerSecond, s.duration = 0.4, 90*time.Second; return s },
 		"often":                     func(s scenario) scenario { s.fatalPerSecond *= 8; return s },
--- a/upstream/quarantiner/report_test.go
+++ b/upstream/quarantiner/report_test.go
@@ -35,7 +35,7 @@
 		t.Error("a VM that knows of no crash adds a report to its heartbeats")
 	}
 	for n := range 300 {
-		q.RecordCrash(fuchsiaspoke.ReplicaIncarnation{ID: fmt.Sprint("engine", n%40)}, demandOf(fmt.Sprint("shared", n/3), fmt.Sprint("own", n)))
+		q.RecordCrash(fuchsiaspoke.ReplicaIncarnation{ID: fmt.Sprint("engine", n%40)}, traitsOf("", fmt.Sprint("shared", n/3), fmt.Sprint("own", n)))
 		now += 50 * time.Millisecond
 	}
 	largest := 0
@@ -58,23 +58,23 @@
 	for name, sound := range map[string]bool{"part is fatal": false, "part is sound": true} {
 		now := time.Minute
 		q := newQuarantiner(&now)
-		d := demandOf("part", "own")
+		d := traitsOf("", "part", "own")
 		crash := func(n int) {
-			q.RecordCrash(fuchsiaspoke.ReplicaIncarnation{ID: fmt.Sprint("engine", n)}, demandOf("part", fmt.Sprint("own", n)))
+			q.RecordCrash(fuchsiaspoke.ReplicaIncarnation{ID: fmt.Sprint("engine", n)}, traitsOf("", "part", fmt.Sprint("own", n)))
 		}
 		for n := range 3 {
 			crash(n)
 			now += 3 * time.Second
 		}
 		first := q.Admit(d)
-		if first.Part != "part" || first.Left < 4*time.Minute {
+		if first.Trait.PartID != "part" || first.Left < 4*time.Minute {
 			t.Fatalf("%s: %+v after three crashes, want a quarantine of five minutes", name, first)
 		}
 		now += first.Left
 		if got := q.Admit(d); !got.Trial {
 			t.Fatalf("%s: %+v after the quarantine, want a trial", name, got)
 		}
-		if got := q.Admit(d); got.Part == "" {
+		if got := q.Admit(d); !got.Held {
 			t.Errorf("%s: two requests are tried at once", name)
 		}
 		if sound {
@@ -83,7 +83,7 @@
 			crash(3)
 		}
 		switch got := q.Admit(d); {
-		case sound && got.Part != "":
+		case sound && got.Held:
 			t.Errorf("%s: %+v after a request has begun, want it admitted", name, got)
 		case !sound && got.Left < 9*time.Minute:
 			t.Errorf("%s: %+v after one more crash, want a quarantine of ten minutes", name, got)
@@ -97,12 +97,12 @@
 	q, now := newQuarantiner(&before), 100*time.Millisecond
 	started := newQuarantiner(&now)
 	for n := range 3 {
-		q.RecordCrash(fuchsiaspoke.ReplicaIncarnation{ID: fmt.Sprint("engine", n)}, demandOf("part", fmt.Sprint("own", n)))
+		q.RecordCrash(fuchsiaspoke.ReplicaIncarnation{ID: fmt.Sprint("engine", n)}, traitsOf("", "part", fmt.Sprint("own", n)))
 		before += 350 * time.Millisecond
 	}
 	started.Merge(q.Report(), "peer")
 	now += 2 * time.Second
-	if got := started.Admit(demandOf("part", "own")); got.Part != "part" {
+	if got := started.Admit(traitsOf("", "part", "own")); got.Trait.PartID != "part" {
 		t.Errorf("%+v after three crashes, want a quarantine", got)
 	}
 }
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -75,7 +75,7 @@
 	switch {
 	case o.notSent:
 		return true
-	case !relay.mayGoOn(t.request.Route), !o.notRun && t.mayCrashNext(relay):
+	case !relay.mayGoOn(t.request.Route), !o.notRun && !relay.headSent.Load() && t.mayCrashNext():
 		return false
 	}
 	return t.takeRetry(o.notRun)
@@ -162,7 +162,7 @@
 	})
 	if err != nil {
 		t.recordSendFailure(a.ctx, a.replica, a.started, err)
-		t.recordCrash(a, err)
+		t.recordCrash(a.ctx, a.replica, err)
 		return &outcome{err: err, notSent: notSent(err), done: t.callerCtx.Err() != nil}
 	}
 	info := t.interpretHead(a.replica, response, a.started)
@@ -232,7 +232,7 @@
 			return true
 		}
 		first = false
-		t.Quarantiner.RecordBegin(t.request.Demand)
+		t.Quarantiner.RecordBegin(t.traits)
 		a.admission.Progress(false)
 		firstEventTime = t.Clock() - a.started
 		t.Observe(a.admission.Wait, firstEventTime)
@@ -258,7 +258,7 @@
 	t.recordBodyEnd(a.replica, a.response.Framing(), bodyEnd(err))
 	t.recordSendFailure(a.ctx, a.replica, a.started, &fuchsiaspoke.SendError{Peer: a.replica.Address, Step: "read stream", Cause: err})
 	if first {
-		t.recordCrash(a, err)
+		t.recordCrash(a.ctx, a.replica, err)
 	}
 	return outcome{err: err, final: errors.Is(err, errTooManyEvents)}
 }
--- a/vm/sender/plain.go
+++ b/vm/sender/plain.go
@@ -19,6 +19,9 @@
 		if !found || t.Clock() > t.sendDeadline-minSendTime {
 			return t.finalResponse(ctx, last, "no replica left to try before the deadline")
 		}
+		if refusal := t.refuseIfQuarantined(); refusal != nil {
+			return refusal
+		}
 		r, err := t.attemptWhole(ctx, replica)
 		t.markTried(replica.ID)
 		if t.callerCtx.Err() != nil {
@@ -38,7 +41,7 @@
 			continue
 		}
 		t.outcomeUnknown = true
-		if !t.takeRetry(false) {
+		if t.mayCrashNext() || !t.takeRetry(false) {
 			return t.finalResponse(ctx, last, err.Error())
 		}
 	}
@@ -90,6 +93,7 @@
 	response, err := t.send(ctx, fuchsiaspoke.SendOptions{Replica: r, TimeLeft: t.sendDeadline - started})
 	if err != nil {
 		t.recordSendFailure(ctx, r, started, err)
+		t.recordCrash(ctx, r, err)
 		return nil, err
 	}
 	defer response.Close()
@@ -103,8 +107,12 @@
 		t.sendCount++
 		err = &fuchsiaspoke.SendError{Peer: r.Address, Step: "read response", Cause: err}
 		t.recordSendFailure(ctx, r, started, err)
+		t.recordCrash(ctx, r, err)
 		return nil, err
 	}
+	if !info.NotRun {
+		t.Quarantiner.RecordBegin(t.traits)
+	}
 	if !info.Misdirected {
 		t.sendCount++
 	}
--- a/vm/sender/quarantine.go
+++ b/vm/sender/quarantine.go
@@ -1,53 +1,64 @@
 package sender
 
 import (
+	"context"
 	"net/http"
-	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 )
 
-// admitPrompt returns the refusal of a request whose prompt has a part on which engines crash, and nil if it may be sent.
-func (t *requestTask) admitPrompt() *fuchsiaspoke.Refusal {
-	verdict := t.Quarantiner.Admit(t.request.Demand)
+// admitTraits returns the refusal of a request on which replicas crash, and nil if it may be sent.
+func (t *requestTask) admitTraits() *fuchsiaspoke.Refusal {
+	verdict := t.Quarantiner.Admit(t.traits)
 	t.trial = verdict.Trial
-	if verdict.Part == "" {
+	if !verdict.Held {
 		return nil
 	}
-	return quarantineRefusal(verdict.Part, verdict.Left)
+	return quarantineRefusal(verdict)
 }
 
-// quarantineRefusal returns the refusal of a request that has not run. Its Retry-After is the time for which the part is not sent: an earlier
-// retry meets the same refusal at any VM.
-func quarantineRefusal(part string, left time.Duration) *fuchsiaspoke.Refusal {
+// quarantineRefusal returns the refusal of a request that has not run. Its Retry-After is the time for which such requests are not sent: an
+// earlier retry meets the same refusal at any VM.
+func quarantineRefusal(v fuchsiaspoke.QuarantineVerdict) *fuchsiaspoke.Refusal {
+	code := fuchsiaspoke.CodePartQuarantined
+	if v.Trait.IsRequest() {
+		code = fuchsiaspoke.CodeRequestQuarantined
+	}
 	return fuchsiaspoke.Refusal{
-		Code: fuchsiaspoke.CodeQuarantined, Message: "engines crash on part " + part + " of the prompt", Run: fuchsiaspoke.NotRun,
-		Status: http.StatusServiceUnavailable,
-	}.WithRetryAfter(left)
+		Code: code, Message: quarantineReason(v.Trait), Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable,
+	}.WithRetryAfter(v.Left)
+}
+
+func quarantineReason(trait fuchsiaspoke.Trait) string {
+	if trait.IsRequest() {
+		return "replicas crash on this request, content " + trait.String()
+	}
+	return "engines crash on part " + trait.PartID + " of the prompt"
 }
 
-// refuseIfQuarantined returns the refusal of a request whose prompt was put in quarantine while it waited.
+// refuseIfQuarantined returns the refusal of a request that was put in quarantine while it waited.
 func (t *requestTask) refuseIfQuarantined() error {
-	part, left := t.Quarantiner.Blocked(t.request.Demand)
-	if part == "" || t.trial {
+	verdict := t.Quarantiner.Blocked(t.traits)
+	if !verdict.Held || t.trial {
 		return nil
 	}
 	if t.outcomeUnknown || t.executed {
-		return t.refuse(http.StatusServiceUnavailable, "engines crash on part "+part+" of the prompt")
+		return t.refuse(http.StatusServiceUnavailable, quarantineReason(verdict.Trait))
 	}
-	return quarantineRefusal(part, left)
+	return quarantineRefusal(verdict)
 }
 
-// recordCrash tells the quarantiner of an attempt that ended with its engine's process before the first event.
-func (t *requestTask) recordCrash(a *attempt, err error) {
-	if notSent(err) || a.ctx.Err() != nil || !t.Transport.IsRefused(a.ctx, a.replica.Address) {
+// recordCrash tells the quarantiner of an attempt that ended with its replica's process before it was answered; ctx is that of the attempt.
+func (t *requestTask) recordCrash(ctx context.Context, r fuchsiaspoke.Replica, err error) {
+	if notSent(err) || ctx.Err() != nil || !t.Transport.IsRefused(ctx, r.Address) {
 		return
 	}
-	t.Log("engine crashed before the first event", "request", t.request.ID, "engine", a.replica.ID, "parts", partIDs(t.request.Demand))
-	t.Quarantiner.RecordCrash(a.replica.Incarnation(), t.request.Demand)
+	t.Log("replica crashed under request", "request", t.request.ID, "replica", r.ID, "content", t.content().String(), "parts", partIDs(t.request.Demand))
+	t.Quarantiner.RecordCrash(r.Incarnation(), t.traits)
 }
 
-// mayCrashNext reports whether a request that has not begun may be the cause of crashes, so that no other engine should get it.
-func (t *requestTask) mayCrashNext(relay *streamRelay) bool {
-	return !relay.headSent.Load() && t.Quarantiner.Suspected(t.request.Demand)
-}
+// content returns the trait that the request has in common with those of the same content.
+func (t *requestTask) content() fuchsiaspoke.Trait { return t.traits[len(t.traits)-1] }
+
+// mayCrashNext reports whether a request that no replica has begun to answer may be the cause of crashes, so that no other one should get it.
+func (t *requestTask) mayCrashNext() bool { return t.Quarantiner.Suspected(t.traits) }
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -124,12 +124,12 @@
 	defer cancel()
 	t := &requestTask{
 		Sender: s, request: req, message: m, out: out, sendDeadline: limit, callerCtx: ctx,
-		content: fuchsiaspoke.NewRequestTrait(req.Account, req.Demand, m),
+		traits: fuchsiaspoke.Traits(req, m),
 	}
 	if refusal := t.findOrigin(inner); refusal != nil {
 		return refusal
 	}
-	if refusal := t.admitPrompt(); refusal != nil {
+	if refusal := t.admitTraits(); refusal != nil {
 		return refusal
 	}
 	s.RetryBudget.Add(t.request.Service)
@@ -159,8 +159,8 @@
 	out          responseWriter
 	sendDeadline time.Duration
 	callerCtx    context.Context
-	// content is the trait that the request has in common with others of the same content.
-	content       fuchsiaspoke.Trait
+	// traits are what the request has in common with others, the last of them all that it is.
+	traits        []fuchsiaspoke.Trait
 	triedReplicas map[string]bool
 	// sendCount counts the sends that may have reached a replica.
 	sendCount int
@@ -171,7 +171,7 @@
 	executed bool
 	// resumed is where the stream stands that the caller resumes; nil if it begins.
 	resumed *streamPosition
-	// trial means that the request is sent although a part of its prompt is in quarantine.
+	// trial means that the request is sent although one of its traits is in quarantine.
 	trial bool
 }
 
@@ -292,7 +292,7 @@
 	}
 	t.Log("send failed", "request", t.request.ID, "replica", r.ID, "address", r.Address, "not_sent", notSent(err),
 		"caller_left", t.callerCtx.Err() != nil, "took_ms", (t.Clock() - started).Milliseconds(), "ended_by", t.endedBy(ctx),
-		"content", t.content.String(), "parts", partIDs(t.request.Demand), "error", err.Error())
+		"content", t.content().String(), "parts", partIDs(t.request.Demand), "error", err.Error())
 }
 
 // partIDs returns the ids of the prompt's parts.
--- a/vm/sender/takeover.go
+++ b/vm/sender/takeover.go
@@ -26,7 +26,7 @@
 // response: an engine that has sent its head alone may still turn out to be silent itself.
 func (t *requestTask) resumeAtOther(ctx context.Context, r *streamRelay) *attempt {
 	position := r.position.Load()
-	if !r.mayGoOn(t.request.Route) || t.mayCrashNext(r) || !t.takeRetry(false) {
+	if !r.mayGoOn(t.request.Route) || !r.headSent.Load() && t.mayCrashNext() || !t.takeRetry(false) {
 		return nil
 	}
 	admission, replica, refusal := t.acquireAdmission(ctx, position)
@@ -46,7 +46,7 @@
 	}
 	if err := a.awaitData(); err != nil {
 		t.recordSendFailure(ctx, replica, a.started, &fuchsiaspoke.SendError{Peer: replica.Address, Step: "read first event", Cause: err})
-		t.recordCrash(a, err)
+		t.recordCrash(a.ctx, a.replica, err)
 		a.end(nil)
 		return nil
 	}
@@ -68,7 +68,7 @@
 
 // askOther sends the request to another replica, if there is one and the retry budget allows it, and reads its complete response.
 func (t *requestTask) askOther(ctx context.Context) *attempt {
-	if len(t.untriedReplicas()) == 0 || !t.takeRetry(false) {
+	if len(t.untriedReplicas()) == 0 || t.mayCrashNext() || !t.takeRetry(false) {
 		return nil
 	}
 	replica, found := t.nextReplica(ctx)
--- a/vm_state.go
+++ b/vm_state.go
@@ -43,8 +43,8 @@
 	Continuation bool `cbor:"19,keyasint,omitempty"`
 	// DrainingReplicas are replicas that have reported that they drain, a part of them in each heartbeat.
 	DrainingReplicas []ReplicaIncarnation `cbor:"21,keyasint,omitempty"`
-	// Evidence is what the VM knows of parts of prompts on which engines crash, a part of it in each heartbeat; nil if there is none.
-	Evidence *PromptEvidence `cbor:"23,keyasint,omitempty"`
+	// Evidence is what the VM knows of requests on which replicas crash, a part of it in each heartbeat; nil if there is none.
+	Evidence *CrashEvidence `cbor:"23,keyasint,omitempty"`
 	// Limits are limits of requests that replicas name, a part of them in each heartbeat.
 	Limits []LimitReport `cbor:"24,keyasint,omitempty"`
 }
