The limit of a whole body counts its framing

A response in chunks of four bytes took more than twice as many bytes as its limit: the read of a payment's response without end went on until the caller had left. The connection's limit now holds for the body, as it does for heads.

--- a/upstream/transport/response.go
+++ b/upstream/transport/response.go
@@ -35,6 +35,10 @@
 	return n, err
 }
 
+// LimitBody bounds the bytes in which the rest of the body comes from the connection, its framing included: chunks of few bytes take long
+// to read.
+func (r *Response) LimitBody(limit int64) { r.conn.limiter.Limit("response body", limit) }
+
 // Discard reads the rest of a body that is not needed, so that its connection can be reused. A body that does not end soon is an error.
 func (r *Response) Discard() error { return r.conn.discard(r) }
 
--- a/vm/sender/plain.go
+++ b/vm/sender/plain.go
@@ -126,8 +126,9 @@
 	}, nil
 }
 
-// readBody reads a whole body. It fails if the body is longer than maxResponseBytes, or an event stream that ended inside an event.
+// readBody reads a whole body. It fails if the body is longer than maxResponseBytes, framing included, or an event stream that ended inside an event.
 func readBody(response *transport.Response) ([]byte, error) {
+	response.LimitBody(maxResponseBytes)
 	body, err := bytelimiter.ReadAll(response, "response body", maxResponseBytes)
 	if err != nil {
 		return nil, err
