--- a/trait_test.go
+++ b/trait_test.go
@@ -9,9 +9,9 @@
 )
 
 func ExampleNewRequestTrait() {
-	read := fuchsiaspoke.Message{Method: http.MethodGet, Host: "desk.example", Target: "/read/7", Header: http.Header{"X-Attempt-Id": {"1"}}}
+	read := fuchsiaspoke.Message{Method: http.MethodGet, Host: "desk.example", Target: "/read/7", Header: http.Header{"X-Try": {"1"}}}
 	again := read
-	again.Header = http.Header{"X-Attempt-Id": {"2"}}
+	again.Header = http.Header{"X-Try": {"2"}}
 	first := fuchsiaspoke.NewRequestTrait("school", fuchsiaspoke.Demand{}, read)
 	fmt.Println(first == fuchsiaspoke.NewRequestTrait("school", fuchsiaspoke.Demand{}, again))
 	fmt.Println(first == fuchsiaspoke.NewRequestTrait("shop", fuchsiaspoke.Demand{}, read))
