--- a/upstream/permitter/permitter.go
+++ b/upstream/permitter/permitter.go
@@ -22,7 +22,8 @@
 	Take(ctx context.Context, i fuchsiaspoke.ReplicaIncarnation) (granted bool, wait time.Duration)
 }
 
-// Permitter knows which replicas drain, which have asked this VM to pause and which have a limit. All exported fields must be set before the first call.
+// Permitter knows which replicas drain, which have asked this VM to pause and which have a limit. All exported fields must be set before
+// the first call.
 type Permitter struct {
 	Published func() *fuchsiaspoke.PublishedState
 	// MarkDraining records that a replica drains; Published then shows it as draining.
@@ -164,8 +165,8 @@
 	return out
 }
 
-// ResumesIn returns the time until the first replica of a service takes requests of this VM again; 0 if this VM may send to one now, or if none is
-// ready.
+// ResumesIn returns the time until the first replica of a service takes requests of this VM again; 0 if this VM may send to one now, or if
+// none is ready.
 func (p *Permitter) ResumesIn(service string) time.Duration {
 	soonest := time.Duration(0)
 	for _, r := range p.Published().ReadyReplicas(service) {
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -315,13 +315,15 @@
 	return "replica"
 }
 
-// interpretHead interprets the head of a response to the request, and records what the replica says of itself in it. A misdirected request
-// was answered by another replica.
+// interpretHead interprets the head of a response to the request, and records what the replica says of itself in it. That a head names no
+// limit says nothing if the request was misdirected, as another replica may have answered it.
 func (t *requestTask) interpretHead(r fuchsiaspoke.Replica, response *transport.Response, sentAt time.Duration) fuchsiaspoke.ResponseInfo {
 	info := t.Protocol.InterpretHead(t.request, response.Status, response.Header)
-	if !info.Misdirected {
-		t.Permitter.ObserveAnswer(r, info.Notice, sentAt)
+	if info.Misdirected {
+		t.Permitter.Observe(r, info.Notice)
+		return info
 	}
+	t.Permitter.ObserveAnswer(r, info.Notice, sentAt)
 	return info
 }
 
