A limit above a replica's load keeps nothing back

Found in the reading of the diff: a replica that named a limit of 1e9 got no requests for 2 s, as the debt of the first 2 s was that much of its limit. It is now 100 requests at most.

--- a/upstream/pacer/bucket.go
+++ b/upstream/pacer/bucket.go
@@ -13,8 +13,9 @@
 	// minPerSecond is the rate of a replica that takes fewer requests, so that the end of its limit is noticed.
 	minPerSecond = 0.25
 	// debtTime is the time for which a replica that begins to name a limit gets no requests: it has had those of a moment ago, and VMs that
-	// have not heard of the limit send more.
+	// have not heard of the limit send more. maxDebt bounds the requests that it is spared so: a limit above its load keeps none back.
 	debtTime = 2 * time.Second
+	maxDebt  = 100
 	// savedTokens is the number of tokens that may be saved, and savedTime the time whose tokens may be saved beside them.
 	savedTokens = 2
 	savedTime   = 250 * time.Millisecond
@@ -37,7 +38,7 @@
 // newBucket returns the bucket of a replica that has named a limit for a while.
 func newBucket(now time.Duration, perSecond float64, named time.Duration) bucket {
 	rate, debt := max(perSecond, minPerSecond), max(debtTime-named, 0)
-	return bucket{perSecond: rate, tokens: -rate * debt.Seconds(), filledAt: now}
+	return bucket{perSecond: rate, tokens: -min(rate*debt.Seconds(), maxDebt), filledAt: now}
 }
 
 // setRate changes the rate from now on.
--- a/upstream/pacer/fleet_test.go
+++ b/upstream/pacer/fleet_test.go
@@ -374,6 +374,15 @@
 	}
 }
 
+// A limit far above the load of a replica keeps no request back.
+func TestLimitAboveLoadKeepsNothingBack(t *testing.T) {
+	f := newFleetSimulation(t, scenario{vms: 7, perSecond: 1e9, usual: 20, demand: 20, demandingShare: 1, duration: 20 * time.Second}, 1)
+	f.run()
+	if len(f.denials) > 0 {
+		t.Errorf("%d of %d requests were kept back, the first %v after the limit was named", len(f.denials), len(f.denials)+len(f.arrivals), f.denials[0]-namedAt)
+	}
+}
+
 // Without an answer of the VM that grants tokens, nothing is sent.
 func TestNothingIsSentWithoutAnswerOfGranter(t *testing.T) {
 	f := newFleetSimulation(t, scenario{vms: 2, silentLinks: true}, 1)
