Test of a silent service: its order runs longer than a late timer

Trace: the connections stall by a timer after 10 ms, and the order ran 20 ms, so that a timer 10 ms late came after the response. All assertions stand.

--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -40,6 +40,8 @@
 			done := make(chan error, 1)
 			go func() { done <- s.Serve(ctx, l) }()
 			if c.fault.StallConnections {
+				// The connections stall while the order runs, also where the timer is late.
+				s.RunTime = 150 * time.Millisecond
 				time.AfterFunc(10*time.Millisecond, func() { s.SetFault(c.fault) })
 			} else {
 				s.SetFault(c.fault)
