--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -14,7 +14,6 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/retrylimiter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/exchanger"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/membership"
-	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -24,12 +23,6 @@
 	methodPublished = "published.get"
 	// pullTimeout bounds a call of methodPublished.
 	pullTimeout = 250 * time.Millisecond
-	// minReaders is how many VMs of a small fleet read the platform on behalf of all; one of them may fail or be refused.
-	minReaders = 2
-	// hubsPerReader is the number of ready hubs for each further reader.
-	hubsPerReader = 20
-	// readerRankingKey is the key by which VMs are ranked as readers; it must be the same on all VMs.
-	readerRankingKey = "read the platform"
 	// usedBoundsShare is the part of the platform's retry bounds that the VMs use together.
 	usedBoundsShare = 0.7
 	// assumedFleetSize is the number of VMs assumed while no other VM is known.
@@ -165,21 +158,7 @@
 
 // isReader reports whether this VM is one of the hubs that read the platform on behalf of all.
 func (e *Entry) isReader() bool {
-	role := e.exchanger.Role()
-	if !role.Hub {
-		return false
-	}
-	ownWeight, rankedHigher, readyHubs := ranker.Weight(readerRankingKey, e.VM.ID), 0, 1
-	for _, p := range e.membership.Reachable(e.timer.Now()) {
-		if !p.Ready || !role.Hubs[p.VM.ID] {
-			continue
-		}
-		readyHubs++
-		if ranker.Weight(readerRankingKey, p.VM.ID) > ownWeight {
-			rankedHigher++
-		}
-	}
-	return rankedHigher < minReaders+readyHubs/hubsPerReader
+	return e.exchanger.IsReader(e.timer.Now())
 }
 
 // recordKeepers returns the VMs that may keep records of streams: the hubs that are reachable, and this VM.
--- a/zone/exchanger/exchanger.go
+++ b/zone/exchanger/exchanger.go
@@ -89,6 +89,21 @@
 	return next
 }
 
+// IsReader reports whether this VM is one of the hubs that read the platform on behalf of all.
+func (x *Exchanger) IsReader(now time.Duration) bool {
+	role := x.Role()
+	if !role.Hub {
+		return false
+	}
+	var others []string
+	for _, p := range x.Membership.Reachable(now) {
+		if p.Ready && role.Hubs[p.VM.ID] {
+			others = append(others, p.VM.ID)
+		}
+	}
+	return x.planner.IsReader(x.Self.ID, others)
+}
+
 // heardFirst moves the hubs that answer before those that don't.
 func heardFirst(peers []membership.Peer, hubs []string) []string {
 	heard := make(map[string]bool)
--- a/zone/planner/planner.go
+++ b/zone/planner/planner.go
@@ -28,6 +28,12 @@
 	hubsPerLeaf = 2
 	// hubRankingKey is the key by which VMs are ranked as hubs; it must be the same on all VMs.
 	hubRankingKey = "hub"
+	// minReaders is how many VMs of a small fleet read the platform on behalf of all; one of them may fail or be refused.
+	minReaders = 2
+	// hubsPerReader is the number of ready hubs for each further reader.
+	hubsPerReader = 20
+	// readerRankingKey is the key by which hubs are ranked as readers; it must be the same on all VMs.
+	readerRankingKey = "read the platform"
 )
 
 // Candidate is a reachable VM.
@@ -86,6 +92,17 @@
 	return ranked[:min(hubsPerLeaf, len(ranked))]
 }
 
+// IsReader reports whether a hub is one of those that read the platform on behalf of all; others are the ids of the other ready hubs.
+func (Planner) IsReader(hub string, others []string) bool {
+	weight, rankedHigher := ranker.Weight(readerRankingKey, hub), 0
+	for _, id := range others {
+		if ranker.Weight(readerRankingKey, id) > weight {
+			rankedHigher++
+		}
+	}
+	return rankedHigher < minReaders+(len(others)+1)/hubsPerReader
+}
+
 // rankByCapacity ranks VMs by weighted rendezvous hashing, so that a VM is a hub in proportion to its capacity (Schindelhauer and
 // Schomaker, "Weighted Distributed Hash Tables", 2005). Ready VMs go before all others.
 func rankByCapacity(all []Candidate) []Candidate {
