--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/ratelimiter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/refresher"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/watcher"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/acceptor"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
@@ -104,6 +105,7 @@
 	timer          timer.Timer
 	incarnation    string
 	watcher        *watcher.Watcher
+	refresher      *refresher.Refresher
 	registrar      *registrar.Registrar
 	rateLimiter    ratelimiter.RateLimiter
 	membership     membership.Membership
@@ -128,7 +130,6 @@
 	mu              sync.Mutex
 	claimer         claimer.Claimer
 	controllers     map[string]*ownedEngine
-	pullRunning     atomic.Bool
 	background      sync.WaitGroup
 	dialer          *dialer.Dialer
 	tls             *tls.Config
@@ -217,6 +218,10 @@
 		Platform: e.Platform.Publisher, Clock: e.timer.Now, PropagationLimit: e.propagationLimit(),
 		Reader: fuchsiaspoke.ReaderID(e.incarnation), IsReader: e.isReader, Log: e.Log, Count: e.CountEvent,
 	}
+	e.refresher = &refresher.Refresher{
+		Watcher: e.watcher, Pull: e.pullPublished, Log: e.Log,
+		Decode: func(raw []byte) (*fuchsiaspoke.Contract, error) { return e.Platform.Publisher.Decode(raw) },
+	}
 	e.pacer = &pacer.Pacer{
 		Self: e.VM, Granters: e.granters, Published: e.watcher.Published, Dialer: e.dialer, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
 		Reachable: e.isReachable, ExpectsPeers: e.hasOtherSeeds, WarmUpOver: e.Bounds.WarmUpOver, WarmUpSlack: e.Bounds.WarmUpSlack,
--- a/vm/entry/fuzz_test.go
+++ b/vm/entry/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -19,7 +20,9 @@
 	if err := e.initialize(); err != nil {
 		tb.Fatal(err)
 	}
-	e.pullRunning.Store(true)
+	e.refresher.Pull = func(context.Context, fuchsiaspoke.VM, fuchsiaspoke.PublicationQuery) (fuchsiaspoke.PublicationRelay, error) {
+		return fuchsiaspoke.PublicationRelay{}, errors.New("there are no links")
+	}
 	engine := fuchsiaspoke.Replica{ID: "i-1", Service: "s", Address: "10.0.1.1:80", State: fuchsiaspoke.ReplicaReady}
 	c := &fuchsiaspoke.Contract{
 		Version:  1,
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -21,8 +21,6 @@
 const (
 	// methodPublished is the link method that reads another VM's published state.
 	methodPublished = "published.get"
-	// pullTimeout bounds a call of methodPublished.
-	pullTimeout = 250 * time.Millisecond
 	// usedBoundsShare is the part of the platform's retry bounds that the VMs use together.
 	usedBoundsShare = 0.7
 	// assumedFleetSize is the number of VMs assumed while no other VM is known.
@@ -136,9 +134,7 @@
 	}
 	e.pacer.MergeRamps(s.RampRates)
 	e.observeRates(now, s)
-	if query, needed := e.watcher.ObservePeer(s); needed && e.pullRunning.CompareAndSwap(false, true) {
-		go e.pullPublished(s, query)
-	}
+	e.refresher.Observe(s)
 }
 
 // observeRates passes what a heartbeat says of admitted tokens and bucket levels to the rate limiter: as that of another hub, of a
@@ -204,30 +200,15 @@
 	return out
 }
 
-// pullPublished reads what the query asks for from another VM. It keeps VMs up to date that do not read the platform or get no
-// answer from it.
-func (e *Entry) pullPublished(s fuchsiaspoke.VMState, query fuchsiaspoke.PublicationQuery) {
-	defer e.pullRunning.Store(false)
-	vm := s.VM
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
+// pullPublished asks another VM for what this one lacks of what is published.
+func (e *Entry) pullPublished(
+	ctx context.Context, vm fuchsiaspoke.VM, query fuchsiaspoke.PublicationQuery,
+) (fuchsiaspoke.PublicationRelay, error) {
 	var relay fuchsiaspoke.PublicationRelay
 	err := e.dialer.Call(ctx, vm, methodPublished, query, func(raw cbor.RawMessage) error {
 		return cbor.Unmarshal(raw, &relay)
 	})
-	if err != nil {
-		e.Log("pull of what is published failed", "peer", vm.ID, "revision", s.Revision.String(), "error", err.Error())
-		e.watcher.ObserveMissedRevision(s.Revision)
-		return
-	}
-	var newest *fuchsiaspoke.Contract
-	if len(relay.ContractRaw) > 0 {
-		if newest, err = e.Platform.Publisher.Decode(relay.ContractRaw); err != nil {
-			e.Log("contract from peer could not be decoded", "peer", vm.ID, "error", err.Error())
-			return
-		}
-	}
-	e.watcher.ApplyRelay(newest, relay, vm.ID)
+	return relay, err
 }
 
 // servePublished answers methodPublished calls of other VMs.
