A VM that restarts ends the links to its process before

Cause: a link (QUIC) to a VM stays open when that VM's process is killed and starts again at the same address before its heartbeats are missed (1 s in small fleets, 2 s in large ones; a restart takes 0.5 s). The new process drops packets of connections that it doesn't know, and the link's idle timeout is 20 s on the platform. Every call on it times out: pulls of what is published, admissions at engines, ranking by hubs, tokens of limited replicas, records of streams. TestCallsAreAnsweredSoonAfterRestartOfPeer failed before (1 s, four calls). Change: the keyring derives a stateless reset key for each VM (RFC 9000, 10.3), the same in all its processes, so that the first packet on an old link is answered by a reset. Weighed: closing links where a heartbeat names another incarnation; a leaf gets no heartbeats of most VMs that it calls.

--- a/link/dialer/restart_test.go
+++ b/link/dialer/restart_test.go
@@ -11,6 +11,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/acceptor"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/keyring"
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 )
@@ -35,6 +36,19 @@
 	return c.PacketConn.WriteTo(b, to)
 }
 
+func resetKey(t *testing.T, fleetKey string) *quic.StatelessResetKey {
+	t.Helper()
+	ring, err := keyring.New(fleetKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key, err := ring.ResetKey("vm_1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
 // startProcess starts a process of vm_1 at the address, and returns a function that kills it.
 func startProcess(t *testing.T, fleetKey, address string) (fuchsiaspoke.VM, func()) {
 	t.Helper()
@@ -47,7 +61,7 @@
 	a.Handle("ping", func(_ context.Context, _ string, _ frame.Frame, send func(any) error) error { return send(true) })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- a.Serve(ctx, &quic.Transport{Conn: conn}) }()
+	go func() { done <- a.Serve(ctx, &quic.Transport{Conn: conn, StatelessResetKey: resetKey(t, fleetKey)}) }()
 	kill := func() {
 		if conn.killed.Swap(true) {
 			return
--- a/link/keyring/keyring.go
+++ b/link/keyring/keyring.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
 )
 
 const (
@@ -49,6 +50,15 @@
 	return secret, errors.Wrapf(err, "derive %s secret", purpose)
 }
 
+// ResetKey derives the key by which a process of a VM ends links to the VM's former processes (stateless reset, RFC 9000, section 10.3).
+func (k Keyring) ResetKey(vm string) (*quic.StatelessResetKey, error) {
+	secret, err := k.Secret("link reset " + vm)
+	if err != nil {
+		return nil, err
+	}
+	return (*quic.StatelessResetKey)(secret), nil
+}
+
 // TLS returns the mutual TLS configuration of one process; its certificate names the VM and the incarnation.
 func (k Keyring) TLS(vm, incarnation string) (*tls.Config, error) {
 	caSeed, err := k.Secret("link authority")
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -133,6 +133,7 @@
 	background      sync.WaitGroup
 	dialer          *dialer.Dialer
 	tls             *tls.Config
+	linkResetKey    *quic.StatelessResetKey
 	peerUnreachable map[string]bool
 	peerFailed      map[string]bool
 }
@@ -202,6 +203,9 @@
 	if e.tls, err = ring.TLS(e.VM.ID, e.incarnation); err != nil {
 		return err
 	}
+	if e.linkResetKey, err = ring.ResetKey(e.VM.ID); err != nil {
+		return err
+	}
 	e.controllers = make(map[string]*ownedEngine)
 	e.peerUnreachable, e.peerFailed = make(map[string]bool), make(map[string]bool)
 	e.claimer.Lease = e.Bounds.OwnershipGap
@@ -276,7 +280,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen on link address")
 	}
-	quicTransport := &quic.Transport{Conn: conn}
+	quicTransport := &quic.Transport{Conn: conn, StatelessResetKey: e.linkResetKey}
 	e.dialer.Transport = quicTransport
 	return quicTransport, nil
 }
--- a/vm/runner/process.go
+++ b/vm/runner/process.go
@@ -155,6 +155,9 @@
 	if err != nil {
 		return err
 	}
+	if p.linkTransport.StatelessResetKey, err = ring.ResetKey(p.settings.VM.ID); err != nil {
+		return err
+	}
 	p.dialer = &dialer.Dialer{TLS: config, Transport: p.linkTransport, Clock: p.recorder.Clock}
 	p.acceptor = &acceptor.Acceptor{TLS: config, Clock: p.recorder.Clock}
 	return nil
