A VM asks others while news of the platform is overdue

Cause: where the platform does not answer a leaf, only the heartbeats of its two hubs bring it news. If both were killed or cut off, it takes 2 s until it counts them as unreachable, and up to 0.9 s until other hubs' heartbeats arrive and a pull ends; its own call takes 0.7 s to fail. The sum exceeds the limit of 3 s. A VM that is up to date and one whose call is answered ask nobody.

--- a/contract/watcher/relay.go
+++ b/contract/watcher/relay.go
@@ -7,8 +7,12 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 )
 
-// maxChanges bounds the changes kept for peers; a peer that is further behind is sent the whole state.
-const maxChanges = 256
+const (
+	// maxChanges bounds the changes kept for peers; a peer that is further behind is sent the whole state.
+	maxChanges = 256
+	// overdueAnswer is the time for the platform to answer before other VMs are asked for the same; a healthy one responds within 4 ms.
+	overdueAnswer = 100 * time.Millisecond
+)
 
 // changeLog holds the latest changes; it has every change after the revision completeAfter.
 type changeLog struct {
@@ -50,6 +54,29 @@
 	return out, true
 }
 
+// Overdue returns for how long news of the platform has been overdue on this VM, and the query by which it should ask other VMs for it. News
+// is overdue where the platform does not answer this VM's call within overdueAnswer: one that it makes as its state is stale, or as a
+// peer has a newer contract. A VM without a contract asks only if its last call failed.
+func (w *Watcher) Overdue() (fuchsiaspoke.PublicationQuery, time.Duration) {
+	p := w.Published()
+	query := fuchsiaspoke.PublicationQuery{Revision: p.Revision, Contract: true}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.Clock()
+	if p.Contract == nil {
+		if w.failing {
+			return query, now - w.lastReadStart
+		}
+		return query, 0
+	}
+	query.ContractVersion = p.Contract.Version
+	overdue := now - p.ReadAt - w.staleAge()
+	if p.Contract.Version < w.newestPeerContract {
+		overdue = max(overdue, now-w.peerContractAt)
+	}
+	return query, overdue - overdueAnswer
+}
+
 // ChangesFor returns the publications that a peer lacks: the changes since its revision, or the whole state where the change log
 // does not reach back that far.
 func (w *Watcher) ChangesFor(query fuchsiaspoke.PublicationQuery) fuchsiaspoke.PublicationRelay {
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -165,11 +165,12 @@
 	accepting := make(chan error, 1)
 	go func() { accepting <- e.newAcceptor().Serve(ctx, quicTransport) }()
 	watching := e.watcher.Run(ctx)
+	refreshing := e.refresher.Run(ctx)
 	registering := e.registrar.Run(ctx)
 	done := make(chan error, 1)
 	go func() {
 		e.manageEngines(ctx)
-		for _, end := range []<-chan error{heartbeating, watching, accepting, registering} {
+		for _, end := range []<-chan error{heartbeating, watching, refreshing, accepting, registering} {
 			e.logFailure(<-end)
 		}
 		e.background.Wait()
@@ -223,7 +224,7 @@
 		Reader: fuchsiaspoke.ReaderID(e.incarnation), IsReader: e.isReader, Log: e.Log, Count: e.CountEvent,
 	}
 	e.refresher = &refresher.Refresher{
-		Watcher: e.watcher, Pull: e.pullPublished, Log: e.Log,
+		Watcher: e.watcher, Pull: e.pullPublished, Peers: e.reachableHubs, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
 		Decode: func(raw []byte) (*fuchsiaspoke.Contract, error) { return e.Platform.Publisher.Decode(raw) },
 	}
 	e.pacer = &pacer.Pacer{
