A VM's links to replicas can be given by its caller

Tests that partition one VM of a fleet in one process from all replicas need it: silent, reset, or alive beside refused new ones. nil dials as before.

--- a/upstream/transport/transport.go
+++ b/upstream/transport/transport.go
@@ -45,6 +45,9 @@
 
 // Transport pools connections to replicas. Its zero value is ready to use.
 type Transport struct {
+	// Dial opens a connection to an address; nil means net.Dialer.DialContext.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	mu        sync.Mutex
 	idleConns map[string][]*conn
 }
@@ -113,10 +116,7 @@
 
 // IsRefused reports whether connections to an address are refused, as nothing listens there any more.
 func (t *Transport) IsRefused(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
-	defer cancel()
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := t.dial(ctx, address, refusalTimeout)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
@@ -156,14 +156,24 @@
 		}
 		c.close()
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	netConn, err := d.DialContext(ctx, "tcp", address)
+	netConn, err := t.dial(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
 	return newConn(netConn), nil
 }
 
+// dial opens a connection within the timeout.
+func (t *Transport) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if t.Dial != nil {
+		return t.Dial(ctx, "tcp", address)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 func (t *Transport) popIdle(address string) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -92,6 +92,8 @@
 	SeedAddresses []string
 	// FirstStart means that no VM of the fleet has run before.
 	FirstStart bool
+	// DialReplica opens a connection to a replica; nil means net.Dialer.DialContext.
+	DialReplica func(ctx context.Context, network, address string) (net.Conn, error)
 	// LinkSecret is the secret from which the keys of the links between VMs are derived.
 	LinkSecret string
 	Log        func(event string, keysAndValues ...any)
@@ -218,6 +220,7 @@
 		e.rateLimiter.MinFleetSize = assumedFleetSize
 		e.rateLimiter.MayHavePeers = !e.FirstStart
 	}
+	e.transport.Dial = e.DialReplica
 	e.dialer = &dialer.Dialer{TLS: e.tls, IdleTimeout: linkIdleTimeout}
 	e.watcher = &watcher.Watcher{
 		Platform: e.Platform.Publisher, Clock: e.timer.Now, PropagationLimit: e.propagationLimit(),
