A VM that reaches no replica passes its requests to one that does

Cause: no VM asked whether it reaches replicas at all. Each failure counted against one replica, so a request tried and waited for one after the other until its time was over, and the VM stayed in directory responses and kept its engines. Class: a fault of a VM's own links is taken for one of each peer behind them. Elsewhere: evidence of crashes and of replicas that recover was told to all VMs, and backoffs outlasted the partition. Change: upstream/partitiondetector finds the partition from the connections and probes of its own; vm/delegator serves requests through another VM, one hop, in an allowed region, never said not to have run if it may have; heartbeats and hubs' reports say so, directory responses leave such VMs out, and they give up their engines. TestMessagesBetweenVMsCarryNoBodies lists the one message that now has a body, beside a test of where it may go.

--- a/refusal.go
+++ b/refusal.go
@@ -46,6 +46,7 @@
 	CodeRequestQuarantined  RefusalCode = "request_quarantined"
 	CodeZoneEvacuated       RefusalCode = "zone_evacuated"
 	CodeNoAllowedRegion     RefusalCode = "no_replica_in_allowed_region"
+	CodeReplicasUnreachable RefusalCode = "replicas_unreachable"
 )
 
 // Refusal is an error response that this system, not the upstream, gives to a caller.
--- a/region_test.go
+++ b/region_test.go
@@ -42,8 +42,10 @@
 // Messages between VMs of the users' platform may go to regions that a request may not reach. They carry no body and no part of a prompt:
 // each field that could hold text or bytes is listed here with what it holds, and a new one must be looked at before it is added.
 func TestMessagesBetweenVMsCarryNoBodies(t *testing.T) {
-	const published, identity = "published entry", "id, name or address"
+	const published, identity, delegated = "published entry", "id, name or address", "request of a VM that reaches no replica"
 	known := map[string]string{
+		// A request goes to a VM in an allowed region alone, see TestRequestIsDelegatedToAllowedRegionsAlone, and its response comes from there.
+		"Delegation.Message": delegated, "Delegation.Request": delegated, "DelegatedPart.Head": delegated, "DelegatedPart.Body": delegated,
 		"AdmissionProgress.Engine": identity, "AdmissionProgress.ID": identity,
 		"AdmissionReply.Incarnation.ID":    identity,
 		"AdmissionRequest.Account":         identity,
@@ -86,6 +88,8 @@
 		fuchsiaspoke.StreamQuery{},
 		fuchsiaspoke.StreamReply{},
 		fuchsiaspoke.VMState{},
+		fuchsiaspoke.Delegation{},
+		fuchsiaspoke.DelegatedPart{},
 	} {
 		typ := reflect.TypeOf(message)
 		for _, path := range textFields(typ, typ.Name()) {
--- a/upstream/tracker/tracker.go
+++ b/upstream/tracker/tracker.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// EndBackoffs ends the backoff of all replicas, as where their silence was that of this VM's own links.
+func (t *Tracker) EndBackoffs() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.records {
+		r.backoff, r.backoffUntil = 0, 0
+	}
+}
+
 // RecordStallEnd records that a stalled request has received data, which ends the replica's backoff.
 func (t *Tracker) RecordStallEnd(id string) {
 	t.mu.Lock()
--- a/upstream/transport/response.go
+++ b/upstream/transport/response.go
@@ -31,6 +31,9 @@
 // Read reads the response body. It returns io.EOF only after the complete body; a truncated body gives another error.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.response.Body.Read(p)
+	if n > 0 {
+		r.transport.reached()
+	}
 	if err == io.EOF {
 		r.bodyComplete = true
 	}
--- a/upstream/transport/transport.go
+++ b/upstream/transport/transport.go
@@ -43,10 +43,21 @@
 // ErrAbandoned is the cause with which a caller of SendAbandonable ends its context if it does not need the response any more.
 var ErrAbandoned = errors.New("the response is not needed any more")
 
+// contacts learns whether replicas are reached.
+type contacts interface {
+	// Expect records that a response is waited for, or a connection is opened.
+	Expect()
+	// Reached records that something was received or a connection was opened, and Unconnected that one could not be opened.
+	Reached()
+	Unconnected()
+}
+
 // Transport pools connections to replicas. Its zero value is ready to use.
 type Transport struct {
 	// Dial opens a connection to an address; nil means net.Dialer.DialContext.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Contacts is told what shows whether replicas are reached; nil is told nothing.
+	Contacts contacts
 
 	mu        sync.Mutex
 	idleConns map[string][]*conn
@@ -156,13 +167,44 @@
 		}
 		c.close()
 	}
+	t.expect()
 	netConn, err := t.dial(ctx, address, dialTimeout)
 	if err != nil {
+		t.recordDialFailure(ctx)
 		return nil, err
 	}
+	t.reached()
 	return newConn(netConn), nil
 }
 
+func (t *Transport) expect() {
+	if t.Contacts != nil {
+		t.Contacts.Expect()
+	}
+}
+
+func (t *Transport) reached() {
+	if t.Contacts != nil {
+		t.Contacts.Reached()
+	}
+}
+
+// recordDialFailure records that a connection could not be opened, unless its caller gave up.
+func (t *Transport) recordDialFailure(ctx context.Context) {
+	if t.Contacts != nil && ctx.Err() == nil {
+		t.Contacts.Unconnected()
+	}
+}
+
+// Connect opens a connection to an address and closes it, which shows that the address is reached. Contacts isn't told.
+func (t *Transport) Connect(ctx context.Context, address string) error {
+	c, err := t.dial(ctx, address, dialTimeout)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // dial opens a connection within the timeout.
 func (t *Transport) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -216,6 +258,7 @@
 // exchange writes the message and reads response heads until that of the message's own response. The write runs in a goroutine,
 // since the replica may respond before it has read the whole message.
 func (r *Response) exchange(m fuchsiaspoke.Message, match func(http.Header) fuchsiaspoke.ResponseMatch) error {
+	r.transport.expect()
 	written := make(chan error, 1)
 	encoded := encode(m)
 	go func() {
@@ -228,6 +271,7 @@
 		if err != nil {
 			return err
 		}
+		r.transport.reached()
 		if m := match(response.Header); m != fuchsiaspoke.ResponseForeign {
 			r.unnamed = m == fuchsiaspoke.ResponseUnnamed
 			r.Status, r.Header, r.response = response.StatusCode, response.Header, response
--- a/vm/entry/engines.go
+++ b/vm/entry/engines.go
@@ -108,7 +108,7 @@
 	settledAt := role.HubSince + e.membership.SettleTime()
 	view := claimer.FleetView{
 		Self: e.VM.ID, Settled: now >= settledAt && e.Ready(), SettlesIn: max(settledAt-now, 0), Leaf: !role.Hubs[e.VM.ID],
-		Leaving: e.Leaving(), Claims: e.membership.Claims(), ExpectsPeers: e.hasOtherSeeds(),
+		Leaving: e.Leaving(), EnginesUnreachable: e.partition.Partitioned(), Claims: e.membership.Claims(), ExpectsPeers: e.hasOtherSeeds(),
 		PeerTimeout: e.membership.PeerTimeout(),
 		WallClock:   time.Duration(time.Now().UnixNano()),
 	}
@@ -125,7 +125,7 @@
 // claimerPeer describes a peer to the claimer. Another hub is reachable only if its own heartbeats are received here, as it may
 // own engines; for a leaf a hub's report is enough.
 func claimerPeer(now time.Duration, p membership.Peer, isHub bool) claimer.Peer {
-	out := claimer.Peer{ID: p.VM.ID, LastHeartbeat: p.LastHeard, Ready: p.Ready && isHub, Leaving: p.Draining}
+	out := claimer.Peer{ID: p.VM.ID, LastHeartbeat: p.LastHeard, Ready: p.Ready && isHub && !p.ReplicasUnreachable, Leaving: p.Draining}
 	switch {
 	case isHub || p.Hub:
 		if !p.EverHeard {
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/controller"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/finder"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/pacer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/partitiondetector"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/permitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/quarantiner"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/rampdetector"
@@ -35,6 +36,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/warmupdetector"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/authorizer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/delegator"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/sender"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/timer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/claimer"
@@ -123,6 +125,8 @@
 	requester      *requester.Requester
 	finder         *finder.Finder
 	sender         *sender.Sender
+	partition      partitiondetector.PartitionDetector
+	delegator      *delegator.Delegator
 	authorizer     *authorizer.Authorizer
 	retryLimiters  retryLimiters
 	heartbeatCount atomic.Uint64
@@ -169,10 +173,11 @@
 	watching := e.watcher.Run(ctx)
 	refreshing := e.refresher.Run(ctx)
 	registering := e.registrar.Run(ctx)
+	detecting := e.partition.Run(ctx)
 	done := make(chan error, 1)
 	go func() {
 		e.manageEngines(ctx)
-		for _, end := range []<-chan error{heartbeating, watching, refreshing, accepting, registering} {
+		for _, end := range []<-chan error{heartbeating, watching, refreshing, accepting, registering, detecting} {
 			e.logFailure(<-end)
 		}
 		e.background.Wait()
@@ -220,7 +225,9 @@
 		e.rateLimiter.MinFleetSize = assumedFleetSize
 		e.rateLimiter.MayHavePeers = !e.FirstStart
 	}
-	e.transport.Dial = e.DialReplica
+	e.partition.Replicas, e.partition.Connect, e.partition.OnEnd = e.readyReplicas, e.transport.Connect, e.tracker.EndBackoffs
+	e.partition.Clock, e.partition.Log, e.partition.Count = e.timer.Now, e.Log, e.CountEvent
+	e.transport.Dial, e.transport.Contacts = e.DialReplica, &e.partition
 	e.dialer = &dialer.Dialer{TLS: e.tls, IdleTimeout: linkIdleTimeout}
 	e.watcher = &watcher.Watcher{
 		Platform: e.Platform.Publisher, Clock: e.timer.Now, PropagationLimit: e.propagationLimit(),
@@ -260,7 +267,14 @@
 		Finder: e.finder, Origins: e.registrar, Tracker: &e.tracker, Permitter: e.permitter, Ramps: e.ramps,
 		Quarantiner: e.quarantiner, RetryBudget: &e.retryLimiters, Clock: e.timer.Now,
 		Log: e.Log, Observe: e.Observe, ObserveBodyEnd: e.ObserveBodyEnd,
-		Count: e.CountEvent, TimeUntilOwned: e.timeUntilOwned, Regions: e.Regions,
+		Count: e.CountEvent, TimeUntilOwned: e.timeUntilOwned, Regions: e.Regions, Partition: &e.partition,
+	}
+	e.delegator = &delegator.Delegator{
+		Self: e.VM, Partitioned: e.partition.Partitioned, Peers: e.delegationPeers, Dialer: e.dialer, Regions: e.Regions, Clock: e.timer.Now,
+		Log: e.Log, Count: e.CountEvent,
+		Local: func(ctx context.Context, req fuchsiaspoke.AdmittedRequest, m fuchsiaspoke.Message, out delegator.ResponseWriter) error {
+			return e.sender.Serve(ctx, req, m, out)
+		},
 	}
 	return nil
 }
@@ -294,6 +308,7 @@
 	a.Handle(requester.MethodRequest, e.requester.Serve)
 	a.Handle(requester.MethodProgress, e.requester.ServeProgress)
 	a.Handle(methodPublished, e.servePublished)
+	a.Handle(delegator.MethodServe, e.delegator.Handle)
 	a.Handle(finder.MethodRank, e.finder.Serve)
 	a.Handle(pacer.MethodToken, e.pacer.Serve)
 	a.Handle(registrar.MethodRecord, e.registrar.ServeRecord)
@@ -318,8 +333,14 @@
 // Return refunds the tokens of a request that certainly did not run.
 func (e *Entry) Return(req fuchsiaspoke.AdmittedRequest) { e.authorizer.Return(req) }
 
-// Sender returns the sender that forwards admitted requests.
-func (e *Entry) Sender() *sender.Sender { return e.sender }
+// Serve serves an admitted request: at this VM, or through another one while this VM reaches no replica. Its errors are those of
+// sender.Sender.Serve.
+func (e *Entry) Serve(ctx context.Context, req fuchsiaspoke.AdmittedRequest, m fuchsiaspoke.Message, out delegator.ResponseWriter) error {
+	return e.delegator.Serve(ctx, req, m, out)
+}
+
+// Contacts learns from the connections of orders and report calls whether replicas are reached. It must not be used before Start.
+func (e *Entry) Contacts() *partitiondetector.PartitionDetector { return &e.partition }
 
 // Limits returns the size limits of callers' requests.
 func (e *Entry) Limits() fuchsiaspoke.RequestLimits {
@@ -350,16 +371,27 @@
 	return max(e.Bounds.Grace-waited-stopMargin, 0)
 }
 
-// CallerAddresses returns the caller addresses of the ready VMs that callers should use, and how long callers may cache them.
+// CallerAddresses returns the caller addresses of the ready VMs that callers should use, and how long callers may cache them. VMs that reach
+// no replica are named only where all are such.
 func (e *Entry) CallerAddresses(q fuchsiaspoke.DirectoryQuery) ([]string, time.Duration) {
-	var ready []fuchsiaspoke.VM
+	var reaching, others []fuchsiaspoke.VM
+	add := func(vm fuchsiaspoke.VM, replicasUnreachable bool) {
+		if replicasUnreachable {
+			others = append(others, vm)
+			return
+		}
+		reaching = append(reaching, vm)
+	}
 	if e.Ready() {
-		ready = append(ready, e.VM)
+		add(e.VM, e.partition.Partitioned())
 	}
 	for _, p := range e.callablePeers() {
-		ready = append(ready, p.VM)
+		add(p.VM, p.ReplicasUnreachable)
+	}
+	if len(reaching) == 0 {
+		reaching = others
 	}
-	return e.selectAddresses(e.addressesNear(q, ready)), addressTTL
+	return e.selectAddresses(e.addressesNear(q, reaching)), addressTTL
 }
 
 // callablePeers returns the other VMs that directory responses name: those that are ready and have not failed.
@@ -367,6 +399,26 @@
 	return slices.DeleteFunc(e.membership.Peers(e.timer.Now()), func(p membership.Peer) bool { return !p.Ready || p.Failed })
 }
 
+// delegationPeers returns the other VMs that are reachable, and whether they may serve requests that this VM can't.
+func (e *Entry) delegationPeers() []delegator.Peer {
+	var out []delegator.Peer
+	for _, p := range e.membership.Reachable(e.timer.Now()) {
+		out = append(out, delegator.Peer{VM: p.VM, ReachesReplicas: p.Ready && !p.Draining && !p.Failed && !p.ReplicasUnreachable})
+	}
+	return out
+}
+
+// readyReplicas returns the ready replicas of all services.
+func (e *Entry) readyReplicas() []fuchsiaspoke.Replica {
+	var out []fuchsiaspoke.Replica
+	for _, r := range e.watcher.Published().Replicas {
+		if r.State == fuchsiaspoke.ReplicaReady {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // selectAddresses returns at most maxCallerAddresses of the addresses; each VM selects others, so that all are used.
 func (e *Entry) selectAddresses(all []string) []string {
 	if len(all) <= maxCallerAddresses {
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -82,7 +82,7 @@
 		Revision: p.Revision, Reading: p.Reading.WithAge(now - p.ReadAt).Report(), Engines: e.requester.Views(),
 		DrainingReplicas: e.drainingReplicas(number), Evidence: e.quarantiner.Report().Report(), Limits: e.pacer.Report(),
 		Served:    e.sharer.Report(now),
-		RampRates: e.pacer.RampRates(),
+		RampRates: e.pacer.RampRates(), ReplicasUnreachable: e.partition.Partitioned(),
 	}
 	if p.Contract != nil {
 		s.ContractVersion = p.Contract.Version
--- a/vm/sender/load.go
+++ b/vm/sender/load.go
@@ -77,10 +77,13 @@
 	t.Ramps.Observe(r, fuchsiaspoke.RampOutcome{SentAt: sentAt, Took: t.Clock() - sentAt, Refused: info.NotRun}, info.Notice.Load)
 }
 
-// observeRampFailure records a request without a complete response, unless it was not sent or ended by the caller or by this VM, which had
-// another response.
+// observeRampFailure records a request without a complete response, unless it was not sent, ended by the caller or by this VM, which had
+// another response, or this VM reaches no replica.
 func (t *requestTask) observeRampFailure(ctx context.Context, r fuchsiaspoke.Replica, sentAt time.Duration, err error) {
 	cause := context.Cause(ctx)
+	if t.Partition != nil && t.Partition.Partitioned() {
+		return
+	}
 	if t.Ramps == nil || notSent(err) || t.callerCtx.Err() != nil || errors.Is(cause, errNotNeeded) || errors.Is(cause, errOtherAnswered) {
 		return
 	}
--- a/vm/sender/quarantine.go
+++ b/vm/sender/quarantine.go
@@ -49,10 +49,15 @@
 }
 
 // recordCrash tells the quarantiner of an attempt that ended with its replica's process before it was answered; ctx is that of the attempt.
+// Where no other replica is reached either, it was this VM's links that ended.
 func (t *requestTask) recordCrash(ctx context.Context, r fuchsiaspoke.Replica, err error) {
 	if notSent(err) || ctx.Err() != nil || !t.Transport.IsRefused(ctx, r.Address) {
 		return
 	}
+	if t.Partition != nil && !t.Partition.ReachesOther(ctx, r.Address) {
+		t.Log("connection ended with all others, so that no crash is recorded", "request", t.request.ID, "replica", r.ID)
+		return
+	}
 	t.Log("replica crashed under request", "request", t.request.ID, "replica", r.ID, "content", t.content().String(), "parts", partIDs(t.request.Demand))
 	t.Quarantiner.RecordCrash(r.Incarnation(), t.traits)
 }
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -89,6 +89,13 @@
 	Observe(r fuchsiaspoke.Replica, o fuchsiaspoke.RampOutcome, load *fuchsiaspoke.ReplicaLoad)
 }
 
+// partition knows whether this VM is partitioned from all replicas.
+type partition interface {
+	Partitioned() bool
+	// ReachesOther reports whether a replica at another address is reached now.
+	ReachesOther(ctx context.Context, address string) bool
+}
+
 type retryBudget interface {
 	Add(service string)
 	Take(service string) bool
@@ -130,6 +137,8 @@
 	Regions map[fuchsiaspoke.Zone]fuchsiaspoke.Region
 	// Ramps is nil where no such rate is found.
 	Ramps ramps
+	// Partition tells faults of replicas from those of this VM's own links; nil takes all for faults of replicas.
+	Partition partition
 
 	loadFaults loadFaultLog
 	estimator  estimator.Estimator
--- a/vm_state.go
+++ b/vm_state.go
@@ -52,6 +52,8 @@
 	// FailedVMs are hashes of the ids of VMs, a part of them in each heartbeat. Those with the lowest bit set have failed: directory
 	// responses must not name them. The others, named to hubs only, are no longer heard by the sender.
 	FailedVMs []uint32 `cbor:"30,keyasint,omitempty"`
+	// ReplicasUnreachable reports that the VM is partitioned from all replicas.
+	ReplicasUnreachable bool `cbor:"41,keyasint,omitempty"`
 	// Served is the cost that the VM served by client account, a part of it in each heartbeat and in a datagram of its own; nil unless
 	// client accounts compete for engines.
 	Served *ServedReport `cbor:"40,keyasint,omitempty"`
@@ -87,4 +89,6 @@
 	Hub      bool          `cbor:"6,keyasint,omitempty"`
 	// Silent reports that the VM's heartbeats have stopped, as far as the sender knows.
 	Silent bool `cbor:"7,keyasint,omitempty"`
+	// ReplicasUnreachable is that of the VM's state.
+	ReplicasUnreachable bool `cbor:"8,keyasint,omitempty"`
 }
--- a/zone/claimer/claimer.go
+++ b/zone/claimer/claimer.go
@@ -87,8 +87,8 @@
 	Settled bool
 	// SettlesIn is the rest of the settle time.
 	SettlesIn time.Duration
-	// Leaving VMs are shutting down and own no engine.
-	Leaving bool
+	// Leaving VMs are shutting down and own no engine, and neither do VMs that reach no engine.
+	Leaving, EnginesUnreachable bool
 	// Leaf VMs claim no engine.
 	Leaf bool
 	// ExpectsPeers means that the settings name other VMs.
@@ -208,6 +208,9 @@
 	if view.Leaving {
 		return c.releaseAll("this VM is shutting down")
 	}
+	if view.EnginesUnreachable {
+		return c.releaseAll("this VM reaches no replica")
+	}
 	partitioned := c.partitionPossible(now, view)
 	for _, engine := range view.Engines {
 		c.decideEngine(now, view, engine, partitioned, &d)
--- a/zone/membership/membership.go
+++ b/zone/membership/membership.go
@@ -72,6 +72,8 @@
 	Ready       bool
 	Draining    bool
 	Hub         bool
+	// ReplicasUnreachable means that it is partitioned from all replicas.
+	ReplicasUnreachable bool
 	// LastHeartbeat is when its last heartbeat was received here, or by the VM that reported it if that was later.
 	LastHeartbeat time.Duration
 	// LastHeard is when its last heartbeat was received here; EverHeard means that there was one.
@@ -158,6 +160,7 @@
 	m.endClaims(s, !isNew)
 	p.update(now, fuchsiaspoke.ReportedPeer{
 		VM: s.VM, Incarnation: s.Incarnation, Ready: s.Ready, Draining: s.Draining, Hub: s.Hub,
+		ReplicasUnreachable: s.ReplicasUnreachable,
 	})
 	if isNew || !m.heard(now, p) {
 		p.heardSince = now
@@ -212,11 +215,12 @@
 
 // update takes over the VM's state as of the time at.
 func (p *peer) update(at time.Duration, r fuchsiaspoke.ReportedPeer) {
-	if p.silent || p.Incarnation != r.Incarnation || p.Ready != r.Ready || p.Draining != r.Draining || p.Hub != r.Hub {
+	if p.silent || p.Incarnation != r.Incarnation || p.Ready != r.Ready || p.Draining != r.Draining || p.Hub != r.Hub ||
+		p.ReplicasUnreachable != r.ReplicasUnreachable {
 		p.changedAt = max(p.changedAt, at)
 	}
 	p.VM, p.Incarnation, p.Ready, p.Draining, p.Hub = r.VM, r.Incarnation, r.Ready, r.Draining, r.Hub
-	p.LastHeartbeat, p.silent = at, false
+	p.ReplicasUnreachable, p.LastHeartbeat, p.silent = r.ReplicasUnreachable, at, false
 }
 
 func (m *Membership) recordClaims(now time.Duration, s fuchsiaspoke.VMState) {
--- a/zone/membership/report.go
+++ b/zone/membership/report.go
@@ -67,7 +67,7 @@
 	for _, p := range chosen {
 		out = append(out, fuchsiaspoke.ReportedPeer{
 			VM: p.VM, Incarnation: p.Incarnation, Age: now - p.LastHeartbeat, Ready: p.Ready, Draining: p.Draining, Hub: p.Hub,
-			Silent: p.silent,
+			Silent: p.silent, ReplicasUnreachable: p.ReplicasUnreachable,
 		})
 	}
 	return out
