--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -408,11 +408,15 @@
 	return out
 }
 
-// readyReplicas returns the ready replicas of all services.
+// readyReplicas returns the ready replicas of the contract's services.
 func (e *Entry) readyReplicas() []fuchsiaspoke.Replica {
+	p := e.watcher.Published()
+	if p.Contract == nil {
+		return nil
+	}
 	var out []fuchsiaspoke.Replica
-	for _, r := range e.watcher.Published().Replicas {
-		if r.State == fuchsiaspoke.ReplicaReady {
+	for _, r := range p.Replicas {
+		if _, known := p.Contract.Services[r.Service]; known && r.State == fuchsiaspoke.ReplicaReady {
 			out = append(out, r)
 		}
 	}
