--- a/contract/refresher/refresher_test.go
+++ b/contract/refresher/refresher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,7 +44,9 @@
 	done := w.Run(ctx)
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
 	})
 	return w
 }
--- a/contract/watcher/leaves_test.go
+++ b/contract/watcher/leaves_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -75,7 +76,11 @@
 	}
 	for _, v := range f.vms {
 		f.running.Go(func() { f.beat(v) })
-		f.running.Go(func() { <-v.refresher.Run(ctx) })
+		f.running.Go(func() {
+			if err := <-v.refresher.Run(ctx); !errors.Is(err, context.Canceled) {
+				t.Error(err)
+			}
+		})
 	}
 	t.Cleanup(func() {
 		cancel()
--- a/upstream/partitiondetector/partitiondetector_test.go
+++ b/upstream/partitiondetector/partitiondetector_test.go
@@ -59,7 +59,9 @@
 		done := d.Run(ctx)
 		run(t, d)
 		cancel()
-		<-done
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
 	})
 }
 
--- a/vm/delegator/delegator_test.go
+++ b/vm/delegator/delegator_test.go
@@ -150,7 +150,9 @@
 func TestRequestsOfZoneThatIsCutAreSpread(t *testing.T) {
 	links := &fakeLinks{serve: func(fuchsiaspoke.VM, fuchsiaspoke.Delegation, func(any) error) error { return nil }}
 	peers := []delegator.Peer{
-		peerIn("a", "left"), {VM: fuchsiaspoke.VM{ID: "cut", Zone: "a", Capacity: 1}}, {VM: fuchsiaspoke.VM{ID: "cut too", Zone: "a", Capacity: 1}},
+		peerIn("a", "left"),
+		{VM: fuchsiaspoke.VM{ID: "cut", Zone: "a", Capacity: 1}},
+		{VM: fuchsiaspoke.VM{ID: "cut too", Zone: "a", Capacity: 1}},
 		peerIn("b", "b1"), peerIn("b", "b2"), peerIn("b", "b3"),
 	}
 	for range 400 {
