A restarted fleet takes up no stream of a version that has just left

But a version that had served beside the other one for long and left within the last 30 s was taken for never there: v2's replicas are all old. Change: before a restarted fleet trusts the one version that it sees, it reads the changes that the platform still holds (20 s at most), once, when a stream is first taken up: another version in them, the removal of an entry of which nothing else is known, or no history at all, and the stream is refused as not run. A fleet in which one version alone has served goes on as before. Open: a version that left 20 to 30 s ago, or before a moment at which the platform discarded its history, can't be told.

--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/contract/changereader"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/ratelimiter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/refresher"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/watcher"
@@ -258,8 +259,12 @@
 	}
 	e.retryLimiters = retryLimiters{ratio: e.Bounds.RetryRatio, slack: e.Bounds.RetrySlack, vmCount: e.fleetSize}
 	e.authorizer = &authorizer.Authorizer{Published: e.watcher.Published, RateLimiter: &e.rateLimiter, Clock: e.timer.Now}
+	changes := &changereader.ChangeReader{
+		Platform: e.Platform.Publisher, Revision: func() fuchsiaspoke.Revision { return e.watcher.Published().Revision },
+	}
 	e.registrar = &registrar.Registrar{
-		Self: e.VM, FirstStart: e.FirstStart, VMs: e.recordKeepers, Published: e.watcher.Published, Dialer: e.dialer, Clock: e.timer.Now, Log: e.Log,
+		Changes: changes,
+		Self:    e.VM, FirstStart: e.FirstStart, VMs: e.recordKeepers, Published: e.watcher.Published, Dialer: e.dialer, Clock: e.timer.Now, Log: e.Log,
 		Count: e.CountEvent,
 	}
 	e.sender = &sender.Sender{
--- a/zone/registrar/registrar.go
+++ b/zone/registrar/registrar.go
@@ -40,6 +40,10 @@
 	maxUnsent = 4096
 )
 
+type changes interface {
+	Read(ctx context.Context) ([]fuchsiaspoke.Publication, error)
+}
+
 type dialer interface {
 	Call(ctx context.Context, vm fuchsiaspoke.VM, method string, request any, receive func(cbor.RawMessage) error) error
 }
@@ -52,14 +56,18 @@
 	// VMs returns the VMs, this one included, among which the keepers of records are chosen.
 	VMs       func() []fuchsiaspoke.VM
 	Published func() *fuchsiaspoke.PublishedState
-	Dialer    dialer
-	Clock     func() time.Duration
-	Log       func(event string, keysAndValues ...any)
+	// Changes reads what the platform still holds of changes from before this process.
+	Changes changes
+	Dialer  dialer
+	Clock   func() time.Duration
+	Log     func(event string, keysAndValues ...any)
 	// Count counts an event by its name.
 	Count func(event string)
 
 	history historian.Historian
 	records recordkeeper.RecordKeeper
+	// departures are those from before this process.
+	departures departures
 
 	mu     sync.Mutex
 	unsent []unsentRecord
@@ -120,8 +128,8 @@
 		return only, "only_version"
 	case anyCertain(replies):
 		return only, "only_version_of_another_vm"
-	case r.isFresh() && !r.anyStartedLately(service):
-		return only, "no_new_replica"
+	case r.isFresh() && !r.anyStartedLately(service) && !r.otherVersionLeft(ctx, service, version):
+		return only, "no_change_of_version"
 	}
 	return fuchsiaspoke.StreamOrigin{}, ""
 }
--- a/zone/registrar/registrar_test.go
+++ b/zone/registrar/registrar_test.go
@@ -22,6 +22,14 @@
 	down       map[string]bool
 	published  *fuchsiaspoke.PublishedState
 	began      time.Time
+	// changes is what the platform still holds from before, or changesErr why it can't be read.
+	changes    []fuchsiaspoke.Publication
+	changesErr error
+}
+
+// Read returns the changes that the platform holds.
+func (f *fleet) Read(context.Context) ([]fuchsiaspoke.Publication, error) {
+	return f.changes, f.changesErr
 }
 
 func newFleet(n int, firstStart bool) *fleet {
@@ -31,7 +39,7 @@
 	}
 	for _, vm := range f.vms {
 		f.registrars[vm.ID] = &registrar.Registrar{
-			Self: vm, FirstStart: firstStart, VMs: func() []fuchsiaspoke.VM { return f.vms }, Dialer: f,
+			Self: vm, FirstStart: firstStart, VMs: func() []fuchsiaspoke.VM { return f.vms }, Dialer: f, Changes: f,
 			Published: func() *fuchsiaspoke.PublishedState { return f.published },
 			Clock:     func() time.Duration { return time.Second + time.Since(f.began) },
 			Log:       func(string, ...any) {}, Count: func(string) {},
