Requests to brittle replicas stay within the room that they have

Cause: how many requests are at a replica is known to no VM; each learns of a full replica by being turned away. Change: while a service is brittle, requests to its replicas need a token, as limited ones do. One VM grants a replica's room, slots and two more at once, by the grants within the time that responses take; VMs report each response to it. A further reason of the pacer: same calls, same choice of the granting VM, same refusal at the entrance. Not covered: brittle engines. Their owners grant as many places as they have.

--- a/replica_limit.go
+++ b/replica_limit.go
@@ -30,6 +30,10 @@
 	WarmUpPerSecond float64 `cbor:"2,keyasint,omitempty"`
 	// Ramp is what the requesting VM saw of a replica whose rate is being found; nil if it knows of none.
 	Ramp *RampReport `cbor:"3,keyasint,omitempty"`
+	// Room is what the requesting VM saw of a replica of a brittle service; nil if it is none as far as that VM knows.
+	Room *RampReport `cbor:"4,keyasint,omitempty"`
+	// ReportOnly means that Room is told and no token asked for.
+	ReportOnly bool `cbor:"5,keyasint,omitempty"`
 }
 
 // LimitTokenReply is the response to a LimitTokenRequest.
--- a/replica_notice.go
+++ b/replica_notice.go
@@ -12,6 +12,8 @@
 	Limit *float64
 	// LimitUnreadable reports that the replica names a limit that is no number, so that the one that it named before holds on.
 	LimitUnreadable bool
+	// Brittle reports that the replica falls over if it has to turn more than a few requests away in a second.
+	Brittle bool
 	// WarmUp is how much longer the replica is in warm-up; 0 if it does not say, or is in none.
 	WarmUp time.Duration
 	// Fault is the reason why a part of the notice could not be used; nil if there is none.
--- a/upstream/pacer/pacer.go
+++ b/upstream/pacer/pacer.go
@@ -20,6 +20,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/rampgranter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/rampreporter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/roomgranter"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -70,12 +71,18 @@
 	// Ramps finds the rates of replicas that start or recover; nil means that none is found.
 	Ramps *rampgranter.RampGranter
 
-	// rampReports keeps what this VM saw of such replicas until it asks for a token.
-	rampReports rampreporter.RampReporter
+	// rampReports keeps what this VM saw of such replicas until it asks for a token, and roomReports the same of brittle ones.
+	rampReports, roomReports rampreporter.RampReporter
+	// rooms grants the room of brittle replicas.
+	rooms roomgranter.RoomGranter
 	// sample is the latest one of SampleGranters.
 	sample atomic.Pointer[granterSample]
 
 	mu sync.Mutex
+	// brittle holds by service the time of the latest response that said that its replicas are brittle.
+	brittle map[string]time.Duration
+	// roomReporting holds the replicas of which a report is about to be sent.
+	roomReporting map[uint64]bool
 	// sightings holds the VMs that were among the granters within granterMemory.
 	sightings map[string]sighting
 	// sampledSince is the time of the first sample.
@@ -141,7 +148,7 @@
 // Limited reports whether any limit of the replica is in force: one that it names, or one of Restrict.
 func (p *Pacer) Limited(i fuchsiaspoke.ReplicaIncarnation) bool {
 	now := p.Clock()
-	if p.isRamping(now, i.Hash()) {
+	if _, brittle := p.slotsIfBrittle(i.Hash()); brittle || p.isRamping(now, i.Hash()) {
 		return true
 	}
 	p.mu.Lock()
@@ -280,7 +287,8 @@
 func (p *Pacer) Take(ctx context.Context, i fuchsiaspoke.ReplicaIncarnation) (granted bool, wait time.Duration) {
 	request, limited := p.requestFor(i.Hash())
 	p.addRampReport(&request)
-	if !limited && request.Ramp == nil {
+	p.addRoomReport(&request)
+	if !limited && request.Ramp == nil && request.Room == nil {
 		return true, 0
 	}
 	granter := p.chooseGranter(request)
@@ -375,6 +383,10 @@
 		return errors.Wrap(err, "decode token request")
 	}
 	p.merge(asked.Limit, from)
+	if asked.ReportOnly {
+		p.observeReport(asked)
+		return send(fuchsiaspoke.LimitTokenReply{Limit: asked.Limit})
+	}
 	switch granter := p.chooseGranter(asked); {
 	case granter.ID == p.Self.ID:
 	case granter.ID == "" && p.mayServeUnsettled():
@@ -410,6 +422,9 @@
 	if vm != p.Self.ID {
 		p.adopt(request)
 	}
+	if granted, wait := p.grantRoom(now, request); !granted {
+		return fuchsiaspoke.LimitTokenReply{Wait: wait, Limit: unknownLimit(request.Limit.Process)}
+	}
 	if p.isRamping(now, request.Limit.Process) || p.Ramps != nil && request.Ramp != nil {
 		return p.grantRamped(now, request, vm)
 	}
--- a/upstream/permitter/permitter.go
+++ b/upstream/permitter/permitter.go
@@ -16,6 +16,8 @@
 // limits keeps the limits that replicas name, for all VMs together.
 type limits interface {
 	Name(r fuchsiaspoke.Replica, perSecond float64)
+	// NameBrittle records that a replica of the service is brittle.
+	NameBrittle(service string)
 	End(r fuchsiaspoke.Replica, sentAt time.Duration)
 	Limited(i fuchsiaspoke.ReplicaIncarnation) bool
 	// Take asks for the right to send one request; wait is the time until this VM may ask again.
@@ -74,6 +76,9 @@
 	if n.Limit != nil {
 		p.Limits.Name(r, *n.Limit)
 	}
+	if n.Brittle {
+		p.Limits.NameBrittle(r.Service)
+	}
 	if n.WarmUp > 0 && p.WarmUps != nil {
 		p.WarmUps.Observe(p.Clock(), r, n.WarmUp)
 	}
--- a/upstream/permitter/permitter_test.go
+++ b/upstream/permitter/permitter_test.go
@@ -20,6 +20,8 @@
 	ended  map[string]time.Duration
 }
 
+func (l *limitsStandin) NameBrittle(string) {}
+
 func (l *limitsStandin) Name(r fuchsiaspoke.Replica, perSecond float64)   { l.named[r.ID] = perSecond }
 func (l *limitsStandin) End(r fuchsiaspoke.Replica, sentAt time.Duration) { l.ended[r.ID] = sentAt }
 func (l *limitsStandin) Limited(i fuchsiaspoke.ReplicaIncarnation) bool   { return l.denied[i.ID] > 0 }
--- a/upstream/rampdetector/rampdetector.go
+++ b/upstream/rampdetector/rampdetector.go
@@ -16,6 +16,7 @@
 	BeginRamp(r fuchsiaspoke.Replica)
 	EndRamp(r fuchsiaspoke.Replica)
 	ObserveRamp(r fuchsiaspoke.Replica, o fuchsiaspoke.RampOutcome)
+	ObserveRoom(r fuchsiaspoke.Replica, o fuchsiaspoke.RampOutcome)
 }
 
 // RampDetector compares what is published with what was. Its exported fields must be set before the first call.
@@ -111,6 +112,7 @@
 
 // Observe records the outcome of a request to a replica. load is what its response stated, or nil; a request without a response states nothing.
 func (d *RampDetector) Observe(r fuchsiaspoke.Replica, o fuchsiaspoke.RampOutcome, load *fuchsiaspoke.ReplicaLoad) {
+	d.Limits.ObserveRoom(r, o)
 	if !ramps(d.Published().Contract, r.Service) {
 		return
 	}
--- a/upstream/rampdetector/rampdetector_test.go
+++ b/upstream/rampdetector/rampdetector_test.go
@@ -22,6 +22,8 @@
 
 func (r *recorder) ObserveRamp(fuchsiaspoke.Replica, fuchsiaspoke.RampOutcome) { r.observed++ }
 
+func (r *recorder) ObserveRoom(fuchsiaspoke.Replica, fuchsiaspoke.RampOutcome) {}
+
 func (r *recorder) any() bool { return r.begun+r.ended+r.observed > 0 }
 
 type fixture struct {
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -82,7 +82,7 @@
 		Revision: p.Revision, Reading: p.Reading.WithAge(now - p.ReadAt).Report(), Engines: e.requester.Views(),
 		DrainingReplicas: e.drainingReplicas(number), Evidence: e.quarantiner.Report().Report(), Limits: e.pacer.Report(),
 		Served:    e.sharer.Report(now),
-		RampRates: e.pacer.RampRates(), ReplicasUnreachable: e.partition.Partitioned(),
+		RampRates: e.pacer.RampRates(), ReplicasUnreachable: e.partition.Partitioned(), Brittle: e.pacer.BrittleServices(),
 	}
 	if p.Contract != nil {
 		s.ContractVersion = p.Contract.Version
@@ -133,6 +133,7 @@
 		e.sharer.Merge(now, s.VM.ID, s.Incarnation, s.Served)
 	}
 	e.pacer.MergeRamps(s.RampRates)
+	e.pacer.MergeBrittle(s.Brittle, s.VM.ID)
 	e.observeRates(now, s)
 	e.refresher.Observe(s)
 }
--- a/vm_state.go
+++ b/vm_state.go
@@ -39,7 +39,7 @@
 	// WantsAnswer reports that the sender takes the receiver for a hub and waits for its heartbeats.
 	WantsAnswer bool `cbor:"18,keyasint,omitempty"`
 	// Continuation reports that this is a further datagram of a heartbeat, without AdmittedTokens, BucketLevels, Acks, Reading,
-	// DrainingReplicas, Evidence, Limits, RampRates and FailedVMs; one of them has Served.
+	// DrainingReplicas, Evidence, Limits, RampRates, Brittle and FailedVMs; one of them has Served.
 	Continuation bool `cbor:"19,keyasint,omitempty"`
 	// DrainingReplicas are replicas that have reported that they drain, a part of them in each heartbeat.
 	DrainingReplicas []ReplicaIncarnation `cbor:"21,keyasint,omitempty"`
@@ -54,6 +54,8 @@
 	FailedVMs []uint32 `cbor:"30,keyasint,omitempty"`
 	// ReplicasUnreachable reports that the VM is partitioned from all replicas.
 	ReplicasUnreachable bool `cbor:"41,keyasint,omitempty"`
+	// Brittle are the services whose replicas fall over if they have to turn many requests away.
+	Brittle []BrittleService `cbor:"42,keyasint,omitempty"`
 	// Served is the cost that the VM served by client account, a part of it in each heartbeat and in a datagram of its own; nil unless
 	// client accounts compete for engines.
 	Served *ServedReport `cbor:"40,keyasint,omitempty"`
@@ -63,7 +65,7 @@
 func (s VMState) AsContinuation() VMState {
 	s.Continuation = true
 	s.AdmittedTokens, s.BucketLevels, s.Acks, s.Reading = nil, nil, nil, nil
-	s.DrainingReplicas, s.Evidence, s.Limits, s.RampRates, s.FailedVMs = nil, nil, nil, nil, nil
+	s.DrainingReplicas, s.Evidence, s.Limits, s.RampRates, s.FailedVMs, s.Brittle = nil, nil, nil, nil, nil, nil
 	return s
 }
 
