--- a/region_test.go
+++ b/region_test.go
@@ -62,7 +62,7 @@
 		"StreamReply.OnlyVersion": identity, "StreamReply.Origin": identity,
 		"VMState.Acks": identity, "VMState.AdmittedTokens": identity, "VMState.BucketLevels": identity, "VMState.DrainingReplicas.ID": identity,
 		"VMState.Engines.Engine.ID": identity, "VMState.Engines.Loading.Name": identity, "VMState.Engines.Resident.Name": identity,
-		"VMState.Incarnation": identity, "VMState.Peers": identity, "VMState.VM": identity,
+		"VMState.Incarnation": identity, "VMState.Brittle.Name": identity, "VMState.Peers": identity, "VMState.VM": identity,
 		"PublicationRelay.Changes": published, "PublicationRelay.Replicas": published, "PublicationRelay.Versions": published,
 		"PublicationRelay.Missing": published, "PublicationRelay.Evacuations": published, "PublicationRelay.EvacuationEnds": published,
 	}
