--- a/upstream/partitiondetector/partitiondetector.go
+++ b/upstream/partitiondetector/partitiondetector.go
@@ -124,11 +124,12 @@
 		return
 	}
 	d.Count("replica_reach_probed")
-	if d.connect(ctx, firstTimeout, replicas[:1]) > 0 {
+	more := replicas[1:min(1+moreReplicas, len(replicas))]
+	if d.connect(ctx, firstTimeout, replicas[:1]) > 0 || d.connect(ctx, moreTimeout, more) > 0 {
+		d.Reached()
 		return
 	}
-	more := replicas[1:min(1+moreReplicas, len(replicas))]
-	if d.connect(ctx, moreTimeout, more) > 0 || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return
 	}
 	d.since = d.Clock()
--- a/upstream/partitiondetector/partitiondetector_test.go
+++ b/upstream/partitiondetector/partitiondetector_test.go
@@ -143,6 +143,18 @@
 	})
 }
 
+// A caller has left before its response came, and nothing else is sent.
+func TestResponseThatNobodyWaitsForIsProbedForOnce(t *testing.T) {
+	r := &replicas{count: 15}
+	play(t, r, func(t *testing.T, d *partitiondetector.PartitionDetector) {
+		d.Expect()
+		time.Sleep(10 * time.Second)
+		if n := r.connects.Load(); n != 1 {
+			t.Errorf("%d connections were opened in 10 s, want 1", n)
+		}
+	})
+}
+
 func TestQuietVMOpensNoConnections(t *testing.T) {
 	r := &replicas{count: 15}
 	play(t, r, func(t *testing.T, d *partitiondetector.PartitionDetector) {
--- a/vm/entry/directory.go
+++ b/vm/entry/directory.go
@@ -2,8 +2,12 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/delegator"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/membership"
+	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
 )
 
 // minZoneVMs is the number of VMs in a caller's availability zone from which it is told of these alone, so that one of them may fail.
@@ -50,3 +54,63 @@
 	}
 	return out
 }
+
+// CallerAddresses returns the caller addresses of the ready VMs that callers should use, and how long callers may cache them. VMs that reach
+// no replica are named only where all are such.
+func (e *Entry) CallerAddresses(q fuchsiaspoke.DirectoryQuery) ([]string, time.Duration) {
+	var reaching, others []fuchsiaspoke.VM
+	add := func(vm fuchsiaspoke.VM, replicasUnreachable bool) {
+		if replicasUnreachable {
+			others = append(others, vm)
+			return
+		}
+		reaching = append(reaching, vm)
+	}
+	if e.Ready() {
+		add(e.VM, e.partition.Partitioned())
+	}
+	for _, p := range e.callablePeers() {
+		add(p.VM, p.ReplicasUnreachable)
+	}
+	if len(reaching) == 0 {
+		reaching = others
+	}
+	return e.selectAddresses(e.addressesNear(q, reaching)), addressTTL
+}
+
+// callablePeers returns the other VMs that directory responses name: those that are ready and have not failed.
+func (e *Entry) callablePeers() []membership.Peer {
+	return slices.DeleteFunc(e.membership.Peers(e.timer.Now()), func(p membership.Peer) bool { return !p.Ready || p.Failed })
+}
+
+// delegationPeers returns the other VMs that are reachable, and whether they may serve requests that this VM can't.
+func (e *Entry) delegationPeers() []delegator.Peer {
+	var out []delegator.Peer
+	for _, p := range e.membership.Reachable(e.timer.Now()) {
+		out = append(out, delegator.Peer{VM: p.VM, ReachesReplicas: p.Ready && !p.Draining && !p.Failed && !p.ReplicasUnreachable})
+	}
+	return out
+}
+
+// readyReplicas returns the ready replicas of the contract's services.
+func (e *Entry) readyReplicas() []fuchsiaspoke.Replica {
+	p := e.watcher.Published()
+	if p.Contract == nil {
+		return nil
+	}
+	var out []fuchsiaspoke.Replica
+	for _, r := range p.Replicas {
+		if _, known := p.Contract.Services[r.Service]; known && r.State == fuchsiaspoke.ReplicaReady {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// selectAddresses returns at most maxCallerAddresses of the addresses; each VM selects others, so that all are used.
+func (e *Entry) selectAddresses(all []string) []string {
+	if len(all) <= maxCallerAddresses {
+		return all
+	}
+	return ranker.RankBy(e.VM.ID, all, func(a string) string { return a })[:maxCallerAddresses]
+}
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -4,25 +4,19 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"crypto/sha256"
 	"crypto/tls"
-	"encoding/hex"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
-	"github.com/fuchsiaspoke/fuchsiaspoke/contract/changereader"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/ratelimiter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/refresher"
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/watcher"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/acceptor"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
-	"github.com/fuchsiaspoke/fuchsiaspoke/link/keyring"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/controller"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/finder"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/pacer"
@@ -30,7 +24,6 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/permitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/quarantiner"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/rampdetector"
-	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/rampgranter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/sharer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
@@ -44,7 +37,6 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/exchanger"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/heartbeater"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/membership"
-	"github.com/fuchsiaspoke/fuchsiaspoke/zone/ranker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/registrar"
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
@@ -196,94 +188,6 @@
 	}
 }
 
-// initialize creates the parts of the VM and connects them.
-func (e *Entry) initialize() error {
-	var id [8]byte
-	if _, err := rand.Read(id[:]); err != nil {
-		return errors.Wrap(err, "generate incarnation ID")
-	}
-	e.incarnation = hex.EncodeToString(id[:])
-	e.timer.Now()
-	secret := sha256.Sum256([]byte(e.LinkSecret))
-	ring, err := keyring.New(hex.EncodeToString(secret[:]))
-	if err != nil {
-		return err
-	}
-	if e.tls, err = ring.TLS(e.VM.ID, e.incarnation); err != nil {
-		return err
-	}
-	if e.linkResetKey, err = ring.ResetKey(e.VM.ID); err != nil {
-		return err
-	}
-	e.controllers = make(map[string]*ownedEngine)
-	e.peerUnreachable, e.peerFailed = make(map[string]bool), make(map[string]bool)
-	e.claimer.Lease = e.Bounds.OwnershipGap
-	e.membership.Self, e.membership.ContactLimit = e.VM.ID, e.Bounds.ContactLimit
-	e.exchanger.Self, e.exchanger.Membership, e.exchanger.Address = e.VM, &e.membership, e.heartbeatAddress
-	e.rateLimiter.Self, e.rateLimiter.FleetSize = e.VM.ID, e.fleetSize
-	e.rateLimiter.Overage = e.Bounds.QuotaOverage
-	if e.hasOtherSeeds() {
-		e.rateLimiter.MinFleetSize = assumedFleetSize
-		e.rateLimiter.MayHavePeers = !e.FirstStart
-	}
-	e.partition.Replicas, e.partition.Connect, e.partition.OnEnd = e.readyReplicas, e.transport.Connect, e.tracker.EndBackoffs
-	e.partition.Clock, e.partition.Log, e.partition.Count = e.timer.Now, e.Log, e.CountEvent
-	e.transport.Dial, e.transport.Contacts = e.DialReplica, &e.partition
-	e.dialer = &dialer.Dialer{TLS: e.tls, IdleTimeout: linkIdleTimeout}
-	e.watcher = &watcher.Watcher{
-		Platform: e.Platform.Publisher, Clock: e.timer.Now, PropagationLimit: e.propagationLimit(),
-		Reader: fuchsiaspoke.ReaderID(e.incarnation), IsReader: e.isReader, Log: e.Log, Count: e.CountEvent,
-	}
-	e.refresher = &refresher.Refresher{
-		Watcher: e.watcher, Pull: e.pullPublished, Peers: e.reachableHubs, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
-		Decode: func(raw []byte) (*fuchsiaspoke.Contract, error) { return e.Platform.Publisher.Decode(raw) },
-	}
-	e.pacer = &pacer.Pacer{
-		Self: e.VM, Granters: e.granters, Published: e.watcher.Published, Dialer: e.dialer, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
-		Reachable: e.isReachable, ExpectsPeers: e.hasOtherSeeds, WarmUpOver: e.Bounds.WarmUpOver, WarmUpSlack: e.Bounds.WarmUpSlack,
-	}
-	e.pacer.Ramps = &rampgranter.RampGranter{Name: e.pacer.ReplicaID, Log: e.Log, Count: e.CountEvent}
-	e.ramps = &rampdetector.RampDetector{Published: e.watcher.Published, Limits: e.pacer, Log: e.Log, Count: e.CountEvent}
-	e.warmUps = &warmupdetector.WarmupDetector{Published: e.watcher.Published, Limits: e.pacer, Log: e.Log, Count: e.CountEvent}
-	e.permitter = &permitter.Permitter{
-		Published: e.watcher.Published, Limits: e.pacer, WarmUps: e.warmUps, Clock: e.timer.Now, Log: e.Log, Count: e.CountEvent,
-		MarkDraining: func(i fuchsiaspoke.ReplicaIncarnation) { e.watcher.MarkDraining(i, e.VM.ID) },
-	}
-	e.quarantiner = &quarantiner.Quarantiner{
-		Self: e.VM.ID, Clock: e.timer.Now, VMs: e.fleetSize, Log: e.Log, Count: e.CountEvent,
-	}
-	e.requester = &requester.Requester{Peers: &e.membership, Dialer: e.dialer, Clock: e.timer.Now, Self: e.VM}
-	e.finder = &finder.Finder{
-		Published: e.watcher.Published, Requester: e.requester, Tracker: &e.tracker, Clock: e.timer.Now, Dialer: e.dialer,
-		Hubs: e.hubsToAsk, Log: e.Log, Regions: e.Regions, Shares: &e.sharer,
-	}
-	e.retryLimiters = retryLimiters{ratio: e.Bounds.RetryRatio, slack: e.Bounds.RetrySlack, vmCount: e.fleetSize}
-	e.authorizer = &authorizer.Authorizer{Published: e.watcher.Published, RateLimiter: &e.rateLimiter, Clock: e.timer.Now}
-	changes := &changereader.ChangeReader{
-		Platform: e.Platform.Publisher, Revision: func() fuchsiaspoke.Revision { return e.watcher.Published().Revision },
-	}
-	e.registrar = &registrar.Registrar{
-		Changes: changes,
-		Self:    e.VM, FirstStart: e.FirstStart, VMs: e.recordKeepers, Published: e.watcher.Published, Dialer: e.dialer, Clock: e.timer.Now, Log: e.Log,
-		Count: e.CountEvent,
-	}
-	e.sender = &sender.Sender{
-		Published: e.watcher.Published, Transport: &e.transport, Protocol: e.Platform.Replicas, Requester: e.requester,
-		Finder: e.finder, Origins: e.registrar, Tracker: &e.tracker, Permitter: e.permitter, Ramps: e.ramps,
-		Quarantiner: e.quarantiner, RetryBudget: &e.retryLimiters, Clock: e.timer.Now,
-		Log: e.Log, Observe: e.Observe, ObserveBodyEnd: e.ObserveBodyEnd,
-		Count: e.CountEvent, TimeUntilOwned: e.timeUntilOwned, Regions: e.Regions, Partition: &e.partition,
-	}
-	e.delegator = &delegator.Delegator{
-		Self: e.VM, Partitioned: e.partition.Partitioned, Peers: e.delegationPeers, Dialer: e.dialer, Regions: e.Regions, Clock: e.timer.Now,
-		Log: e.Log, Count: e.CountEvent,
-		Local: func(ctx context.Context, req fuchsiaspoke.AdmittedRequest, m fuchsiaspoke.Message, out delegator.ResponseWriter) error {
-			return e.sender.Serve(ctx, req, m, out)
-		},
-	}
-	return nil
-}
-
 // propagationLimit returns the time within which a published change must be in force: half of the bound of evacuations is left for work
 // that was begun before.
 func (e *Entry) propagationLimit() time.Duration {
@@ -375,63 +279,3 @@
 func (e *Entry) StopTime(waited time.Duration) time.Duration {
 	return max(e.Bounds.Grace-waited-stopMargin, 0)
 }
-
-// CallerAddresses returns the caller addresses of the ready VMs that callers should use, and how long callers may cache them. VMs that reach
-// no replica are named only where all are such.
-func (e *Entry) CallerAddresses(q fuchsiaspoke.DirectoryQuery) ([]string, time.Duration) {
-	var reaching, others []fuchsiaspoke.VM
-	add := func(vm fuchsiaspoke.VM, replicasUnreachable bool) {
-		if replicasUnreachable {
-			others = append(others, vm)
-			return
-		}
-		reaching = append(reaching, vm)
-	}
-	if e.Ready() {
-		add(e.VM, e.partition.Partitioned())
-	}
-	for _, p := range e.callablePeers() {
-		add(p.VM, p.ReplicasUnreachable)
-	}
-	if len(reaching) == 0 {
-		reaching = others
-	}
-	return e.selectAddresses(e.addressesNear(q, reaching)), addressTTL
-}
-
-// callablePeers returns the other VMs that directory responses name: those that are ready and have not failed.
-func (e *Entry) callablePeers() []membership.Peer {
-	return slices.DeleteFunc(e.membership.Peers(e.timer.Now()), func(p membership.Peer) bool { return !p.Ready || p.Failed })
-}
-
-// delegationPeers returns the other VMs that are reachable, and whether they may serve requests that this VM can't.
-func (e *Entry) delegationPeers() []delegator.Peer {
-	var out []delegator.Peer
-	for _, p := range e.membership.Reachable(e.timer.Now()) {
-		out = append(out, delegator.Peer{VM: p.VM, ReachesReplicas: p.Ready && !p.Draining && !p.Failed && !p.ReplicasUnreachable})
-	}
-	return out
-}
-
-// readyReplicas returns the ready replicas of the contract's services.
-func (e *Entry) readyReplicas() []fuchsiaspoke.Replica {
-	p := e.watcher.Published()
-	if p.Contract == nil {
-		return nil
-	}
-	var out []fuchsiaspoke.Replica
-	for _, r := range p.Replicas {
-		if _, known := p.Contract.Services[r.Service]; known && r.State == fuchsiaspoke.ReplicaReady {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
-// selectAddresses returns at most maxCallerAddresses of the addresses; each VM selects others, so that all are used.
-func (e *Entry) selectAddresses(all []string) []string {
-	if len(all) <= maxCallerAddresses {
-		return all
-	}
-	return ranker.RankBy(e.VM.ID, all, func(a string) string { return a })[:maxCallerAddresses]
-}
