--- a/vm/delegator/delegator.go
+++ b/vm/delegator/delegator.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -19,8 +21,11 @@
 const (
 	// MethodServe is the link method that serves a delegated request.
 	MethodServe = "request.serve"
-	// maxVMs is the number of VMs that are tried in turn, while none has received the request.
-	maxVMs = 3
+	// maxVMs is the number of VMs that are tried in turn, while none serves the request: in a large fleet this VM may not have heard yet which
+	// others reach no replica either.
+	maxVMs = 5
+	// unreachableMemory is how long a VM that has refused a request as it reaches no replica is not asked again.
+	unreachableMemory = 2 * time.Second
 	// connectTimeout bounds the time until a VM has been connected to or another one is tried.
 	connectTimeout = 300 * time.Millisecond
 	// responseMargin is the time reserved before the request's deadline for writing the final response.
@@ -66,6 +71,10 @@
 	Clock   func() time.Duration
 	Log     func(event string, keysAndValues ...any)
 	Count   func(event string)
+
+	mu sync.Mutex
+	// refusedAt holds when VMs have last refused a request as they reach no replica.
+	refusedAt map[string]time.Duration
 }
 
 // Serve serves a request at this VM, or through another one while this VM is partitioned from all replicas. Its errors are those of
@@ -96,7 +105,10 @@
 			continue
 		}
 		err := d.call(ctx, vm, req, m, out)
-		if !errors.Is(err, dialer.ErrNotSent) && !isUnreachable(err) {
+		switch {
+		case isUnreachable(err):
+			d.recordRefusal(vm.ID)
+		case !errors.Is(err, dialer.ErrNotSent):
 			return err
 		}
 	}
@@ -108,6 +120,25 @@
 	return unreachable("no VM that may serve the request reaches a replica").WithRetryAfter(wait)
 }
 
+func (d *Delegator) recordRefusal(vm string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock()
+	maps.DeleteFunc(d.refusedAt, func(_ string, at time.Duration) bool { return now-at > unreachableMemory })
+	if d.refusedAt == nil {
+		d.refusedAt = make(map[string]time.Duration)
+	}
+	d.refusedAt[vm] = now
+}
+
+// hasRefused reports whether a VM has refused a request within unreachableMemory as it reaches no replica.
+func (d *Delegator) hasRefused(vm string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, known := d.refusedAt[vm]
+	return known && d.Clock()-at <= unreachableMemory
+}
+
 // unreachable returns the refusal of a request that reached no replica as no VM, or not the one that was asked, reaches any.
 func unreachable(reason string) fuchsiaspoke.Refusal {
 	return fuchsiaspoke.Refusal{
@@ -138,7 +169,7 @@
 		if inZone {
 			zoneCapacity += capacity(p.VM)
 		}
-		if !p.ReachesReplicas || !fuchsiaspoke.RegionAllowed(regions, d.Regions[p.VM.Zone]) {
+		if !p.ReachesReplicas || d.hasRefused(p.VM.ID) || !fuchsiaspoke.RegionAllowed(regions, d.Regions[p.VM.Zone]) {
 			continue
 		}
 		all = append(all, p.VM)
--- a/vm/delegator/delegator_test.go
+++ b/vm/delegator/delegator_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -169,6 +171,29 @@
 	}
 }
 
+// Half of a large fleet is partitioned, and this VM has not heard of it yet.
+func TestMostRequestsAreServedWhilePartitionedVMsAreNotKnown(t *testing.T) {
+	var peers []delegator.Peer
+	for n := range 409 {
+		peers = append(peers, peerIn("a", fmt.Sprint(n)))
+	}
+	links := &fakeLinks{serve: func(vm fuchsiaspoke.VM, _ fuchsiaspoke.Delegation, _ func(any) error) error {
+		if n, _ := strconv.Atoi(vm.ID); n%2 == 0 {
+			return &fuchsiaspoke.Refusal{Code: fuchsiaspoke.CodeReplicasUnreachable, Run: fuchsiaspoke.NotRun}
+		}
+		return nil
+	}}
+	d, served := newDelegator(links, peers...), 0
+	for range 1000 {
+		if d.Serve(t.Context(), request(), fuchsiaspoke.Message{}, &recordedResponse{}) == nil {
+			served++
+		}
+	}
+	if served < 900 || len(links.asked) > 1500 {
+		t.Errorf("%d of 1000 requests served, %d calls", served, len(links.asked))
+	}
+}
+
 // A VM that is partitioned too refuses what it is delegated, and the next one is asked.
 func TestDelegatedRequestIsNotPassedOn(t *testing.T) {
 	links := &fakeLinks{}
