--- a/review/casedriver/queued.go
+++ b/review/casedriver/queued.go
@@ -14,8 +14,8 @@
 	hotAdapters = 24
 	// hotInterval is the time between two requests for one hot adapter, which is in use all the time then.
 	hotInterval = 700 * time.Millisecond
-	// coldRequests is the number of requests for rare adapters, half of them before the SIGTERM and half in the second after it.
-	coldRequests = 40
+	// coldRequests is the number of requests for rare adapters, half of them in the two seconds before the SIGTERM and half in the two after it.
+	coldRequests = 160
 	// lossSlack is lossSlackMs of the settings.
 	lossSlack = 200 * time.Millisecond
 )
@@ -63,7 +63,7 @@
 			answers = append(answers, a)
 			mu.Unlock()
 		})
-		if !sleep(ctx, time.Second/coldRequests*2) {
+		if !sleep(ctx, 4*time.Second/coldRequests) {
 			return nil, ctx.Err()
 		}
 	}
