--- a/review/casedriver/engine.go
+++ b/review/casedriver/engine.go
@@ -52,6 +52,8 @@
 	// onAccept is called as a request is accepted, and onBegin as it begins to run, with the version of its adapter.
 	onAccept func(e *engine, attempt string)
 	onBegin  func(e *engine, attempt, adapter string, version int64)
+	// onOrder is called as an order arrives; nil is not.
+	onOrder func(e *engine, holder string, token int64)
 
 	prefill sync.Mutex
 
@@ -199,6 +201,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if e.onOrder != nil {
+		e.onOrder(e, o.Holder, o.FencingToken)
+	}
 	e.mu.Lock()
 	status := e.apply(o)
 	e.holder = o.Holder
--- a/review/casedriver/main.go
+++ b/review/casedriver/main.go
@@ -16,6 +16,9 @@
 	"time"
 )
 
+// seedCount is the number of machines that the settings name as seeds.
+const seedCount = 3
+
 // limit is the longest time that a case may take.
 const limit = 115 * time.Second
 
@@ -25,6 +28,7 @@
 var cases = map[string]playedCase{
 	"version-without-owner": playVersionWithoutOwner,
 	"cut-while-queued":      playCutWhileQueued,
+	"seeds-stay-down":       playSeedsStayDown,
 }
 
 // world is what a case plays in.
@@ -35,6 +39,8 @@
 	vms     []*vm
 	fleet   fleetSettings
 	running sync.WaitGroup
+	// onOrder is called as an order arrives at an engine; nil is not.
+	onOrder func(e *engine, holder string, token int64)
 
 	mu       sync.Mutex
 	versions map[string]declared
@@ -182,7 +188,7 @@
 	for i := range engines {
 		e := &engine{
 			id: fmt.Sprintf("i-7f3a91c%d", i), service: engineService, zone: zones[i%len(zones)], store: w.store, rec: w.rec, newest: w.newest,
-			onAccept: w.recordAcceptance, onBegin: onBegin,
+			onAccept: w.recordAcceptance, onBegin: onBegin, onOrder: w.onOrder,
 		}
 		if err := e.start(ctx); err != nil {
 			return err
@@ -192,7 +198,7 @@
 	if w.vms, err = newFleet(vms); err != nil {
 		return err
 	}
-	for _, v := range w.vms[:min(3, vms)] {
+	for _, v := range w.vms[:min(seedCount, vms)] {
 		w.fleet.seeds = append(w.fleet.seeds, v.at(controlPort))
 	}
 	for _, v := range w.vms {
