--- a/review/casedriver/engine.go
+++ b/review/casedriver/engine.go
@@ -44,9 +44,11 @@
 // engine is a stand-in of one model replica. It reads one prompt at a time.
 type engine struct {
 	id, service, zone, address string
-	born                       int64
-	store                      *store
-	rec                        *recorder
+	// software is the version of the engine's software.
+	software string
+	born     int64
+	store    *store
+	rec      *recorder
 	// newest returns the newest version of an adapter that was declared.
 	newest func(adapter string) int64
 	// onAccept is called as a request is accepted, and onBegin as it begins to run, with the version of its adapter.
@@ -105,7 +107,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.store.put("servers/"+e.id, map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": engineSlots, "state": "ready",
+		"service": e.service, "address": e.address, "zone": e.zone, "version": e.software, "slots": engineSlots, "state": "ready",
 		"coldRemainingMs": 0, "stage": "colocated", "models": e.models(), "sequence": e.orders, "born": e.born,
 	})
 }
--- a/review/casedriver/main.go
+++ b/review/casedriver/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]playedCase{
 	"version-without-owner": playVersionWithoutOwner,
 	"cut-while-queued":      playCutWhileQueued,
+	"rejoin":                playRejoin,
 	"seeds-stay-down":       playSeedsStayDown,
 }
 
@@ -39,6 +40,8 @@
 	vms     []*vm
 	fleet   fleetSettings
 	running sync.WaitGroup
+	// softwareVersions are those of the engines; empty is one version.
+	softwareVersions []string
 	// onOrder is called as an order arrives at an engine; nil is not.
 	onOrder func(e *engine, holder string, token int64)
 
@@ -190,6 +193,10 @@
 			id: fmt.Sprintf("i-7f3a91c%d", i), service: engineService, zone: zones[i%len(zones)], store: w.store, rec: w.rec, newest: w.newest,
 			onAccept: w.recordAcceptance, onBegin: onBegin, onOrder: w.onOrder,
 		}
+		e.software = "v1"
+		if i < len(w.softwareVersions) {
+			e.software = w.softwareVersions[i]
+		}
 		if err := e.start(ctx); err != nil {
 			return err
 		}
--- a/review/casedriver/vm.go
+++ b/review/casedriver/vm.go
@@ -31,9 +31,10 @@
 	settingsPath   string
 	logPath        string
 
-	mu      sync.Mutex
-	process *exec.Cmd
-	ended   chan struct{}
+	mu        sync.Mutex
+	process   *exec.Cmd
+	ended     chan struct{}
+	startedAt time.Time
 }
 
 // fleetSettings is what the settings of all machines have in common.
@@ -125,7 +126,7 @@
 		return err
 	}
 	ended := make(chan struct{})
-	v.process, v.ended = cmd, ended
+	v.process, v.ended, v.startedAt = cmd, ended, time.Now()
 	go func() {
 		_ = cmd.Wait()
 		_ = log.Close()
@@ -134,6 +135,13 @@
 	return nil
 }
 
+// began returns when the process was started.
+func (v *vm) began() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.startedAt
+}
+
 // signal sends a signal to the process, if there is one.
 func (v *vm) signal(s os.Signal) {
 	v.mu.Lock()
