--- a/review/casedriver/config.go
+++ b/review/casedriver/config.go
@@ -13,6 +13,9 @@
 	smallKey      = "n2ctnfzs989anu6wsjnb"
 )
 
+// configurationVersion is the version of the one configuration.
+const configurationVersion = 7
+
 // Paths of routes.
 const (
 	briefMaker  = "/lohu930/"
@@ -22,8 +25,8 @@
 	status      = "/cufi504/"
 )
 
-// configuration returns a configuration with the routes of the sheet of liuteria-commesse and two tenants.
-func configuration(version int) map[string]any {
+// configuration returns the configuration, with the routes of the sheet of liuteria-commesse and two tenants.
+func configuration() map[string]any {
 	stream := func(name, prefix string, timeoutMs, aimMs, priority, attempts int, resume bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": hostName, "prefix": prefix, "routeType": "streaming", "timeoutMs": timeoutMs, "targetLatencyMs": aimMs,
@@ -44,7 +47,7 @@
 		}
 	}
 	return map[string]any{
-		"version": version,
+		"version": configurationVersion,
 		"routes": []any{
 			stream("r-maker", briefMaker, 5000, 1000, 1, 1, false), stream("r-client", briefClient, 8000, 1000, 1, 2, true),
 			stream("r-note", woodNote, 15000, 800, 0, 1, false), plain("r-deposit", deposit, "non_idempotent", 1),
--- a/review/casedriver/queued.go
+++ b/review/casedriver/queued.go
@@ -23,7 +23,7 @@
 // playCutWhileQueued stops one VM with SIGTERM while requests that it has read wait for room for their adapters. LOST: around planned work,
 // no request that was read ends without a complete answer.
 func playCutWhileQueued(ctx context.Context, w *world, trouble bool) ([]string, error) {
-	if err := w.start(ctx, 2, 5, configuration(7), func(e *engine, attempt, adapter string, _ int64) {
+	if err := w.start(ctx, 2, 5, configuration(), func(e *engine, attempt, adapter string, _ int64) {
 		w.rec.log("engine %s: attempt %s from %s begins on adapter %s", e.id, attempt, w.vmOf(attempt).name, adapter)
 	}); err != nil {
 		return nil, err
--- a/review/casedriver/rejoin.go
+++ b/review/casedriver/rejoin.go
@@ -32,7 +32,7 @@
 // of those taken up at machines in touch, at least half as many go on as new streams begin.
 func playRejoin(ctx context.Context, w *world, trouble bool) ([]string, error) {
 	w.softwareVersions = []string{"v1", "v1", "v2", "v2"}
-	if err := w.start(ctx, len(w.softwareVersions), 7, configuration(7), func(e *engine, attempt, _ string, _ int64) {
+	if err := w.start(ctx, len(w.softwareVersions), 7, configuration(), func(e *engine, attempt, _ string, _ int64) {
 		w.rec.log("engine %s of software version %s: attempt %s begins", e.id, e.software, attempt)
 	}); err != nil {
 		return nil, err
--- a/review/casedriver/seeds.go
+++ b/review/casedriver/seeds.go
@@ -85,7 +85,7 @@
 func playSeedsStayDown(ctx context.Context, w *world, trouble bool) ([]string, error) {
 	watch := &orderWatch{rec: w.rec, last: map[*engine][]seenOrder{}, tokens: map[*engine]map[int64]string{}}
 	w.onOrder = watch.observe
-	if err := w.start(ctx, 4, 7, configuration(7), func(e *engine, attempt, adapter string, _ int64) {
+	if err := w.start(ctx, 4, 7, configuration(), func(e *engine, attempt, adapter string, _ int64) {
 		w.rec.log("engine %s: attempt %s from %s begins on adapter %s", e.id, attempt, w.vmOf(attempt).name, adapter)
 	}); err != nil {
 		return nil, err
--- a/review/casedriver/version.go
+++ b/review/casedriver/version.go
@@ -42,7 +42,7 @@
 				attempt, v.name, version, name, age.Round(time.Millisecond), newest.version))
 		}
 	}
-	if err := w.start(ctx, 4, 7, configuration(7), onBegin); err != nil {
+	if err := w.start(ctx, 4, 7, configuration(), onBegin); err != nil {
 		return nil, err
 	}
 	traffic, stop := context.WithCancel(ctx)
