Requests that wait at a stopped VM are refused before it ends

Cause: a request's context ended at its deadline alone. Nothing that waits, at an engine's owner, for a replica's pause or limit, or behind another VM, knew when the process ends; http.Server.Shutdown leaves the handlers that are left. The VM's log shows it: "stopped with requests running" 7.4 s after the signal, then 56 refusals in the process's last milliseconds. Ruled out: the owners, which went on to queue them.

Change: vm/drainer holds the phases of a stop. Waits end 3.3 s after the signal as not run, owners get that as the deadline, requests that may last longer than the VM are refused from 3 s on, and what still runs without a head at the end is answered 502.

--- a/vm/delegator/delegator.go
+++ b/vm/delegator/delegator.go
@@ -13,6 +13,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/drainer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/sender"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -68,6 +69,8 @@
 	Dialer caller
 	// Regions holds the region of each availability zone.
 	Regions map[fuchsiaspoke.Zone]fuchsiaspoke.Region
+	// Drainer ends delegations when this VM stops; nil is that of a VM that does not stop.
+	Drainer *drainer.Drainer
 	Clock   func() time.Duration
 	Log     func(event string, keysAndValues ...any)
 	Count   func(event string)
@@ -108,6 +111,8 @@
 		switch {
 		case isUnreachable(err):
 			d.recordRefusal(vm.ID)
+		case isDraining(err):
+			// Another VM may serve it.
 		case !errors.Is(err, dialer.ErrNotSent):
 			return err
 		}
@@ -151,6 +156,12 @@
 	return errors.As(err, &refusal) && refusal.Code == fuchsiaspoke.CodeReplicasUnreachable
 }
 
+// isDraining reports whether a VM has refused a request as it stops.
+func isDraining(err error) bool {
+	var refusal *fuchsiaspoke.Refusal
+	return errors.As(err, &refusal) && refusal.Code == fuchsiaspoke.CodeDraining && refusal.Run == fuchsiaspoke.NotRun
+}
+
 // connect reports whether there is a link to the VM, or one could be opened soon.
 func (d *Delegator) connect(ctx context.Context, vm fuchsiaspoke.VM) bool {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
@@ -212,7 +223,10 @@
 ) error {
 	d.Count("request_delegated")
 	d.Log("request delegated", "request", req.ID, "account", req.Account, "route", req.Route.Name, "peer", vm.ID, "zone", string(vm.Zone))
-	callCtx, cancel := context.WithTimeout(ctx, max(req.Deadline-responseMargin-d.Clock(), 0))
+	running, stopRunning := d.Drainer.WithRuns(ctx)
+	defer stopRunning()
+	req.Deadline = d.Clock() + d.Drainer.RunLeft(max(req.Deadline-d.Clock(), 0))
+	callCtx, cancel := context.WithTimeout(running, max(req.Deadline-responseMargin-d.Clock(), 0))
 	defer cancel()
 	r := relay{out: out}
 	err := d.Dialer.Call(callCtx, vm, MethodServe, fuchsiaspoke.NewDelegation(req, m, d.Clock()), r.receive)
--- a/vm/delegator/delegator_test.go
+++ b/vm/delegator/delegator_test.go
@@ -217,3 +217,20 @@
 		t.Errorf("error %v after %d VMs were asked", err, len(links.asked))
 	}
 }
+
+// A VM that is asked stops at that moment: it has refused the request as not run, and another one can serve it.
+func TestRequestRefusedByStoppingVMIsServedByAnother(t *testing.T) {
+	links := &fakeLinks{serve: func(vm fuchsiaspoke.VM, _ fuchsiaspoke.Delegation, send func(any) error) error {
+		if vm.ID == "stopping" {
+			return &fuchsiaspoke.Refusal{Code: fuchsiaspoke.CodeDraining, Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable}
+		}
+		return send(fuchsiaspoke.DelegatedPart{Head: &fuchsiaspoke.DelegatedHead{Status: 200, Length: -1}})
+	}}
+	for range 20 {
+		out := &recordedResponse{}
+		err := newDelegator(links, peerIn("a", "stopping"), peerIn("a", "peer")).Serve(t.Context(), request(), fuchsiaspoke.Message{}, out)
+		if err != nil || out.status != 200 {
+			t.Fatalf("error %v, status %d, want an answer of the other VM", err, out.status)
+		}
+	}
+}
--- /dev/null
+++ b/vm/drainer/drainer.go
@@ -0,0 +1,121 @@
+// Package drainer ends the requests of a VM that stops in an order in which each of them is answered.
+package drainer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrDraining is the cause with which a context of WithWaits or WithRuns ends when the VM stops.
+var ErrDraining = errors.New("the VM is stopping")
+
+// Phases are the times from the beginning of a VM's stop after which it takes and does less.
+type Phases struct {
+	// Accepts is how long requests are accepted that may run for longer than Runs leaves them.
+	Accepts time.Duration
+	// Waits is how long requests may wait to be sent to a replica; later ones are refused at once.
+	Waits time.Duration
+	// Runs is how long requests that were sent may run.
+	Runs time.Duration
+}
+
+// Drainer knows in which phase of its stop a VM is. Its zero value is that of a VM that does not stop, and so is nil.
+type Drainer struct {
+	mu      sync.Mutex
+	began   time.Time
+	phases  Phases
+	waiting phase
+	running phase
+}
+
+// phase ends once.
+type phase struct {
+	ctx context.Context
+	end context.CancelFunc
+}
+
+// init prepares the phases. The caller holds mu.
+func (d *Drainer) init() {
+	if d.waiting.ctx != nil {
+		return
+	}
+	d.waiting.ctx, d.waiting.end = context.WithCancel(context.Background())
+	d.running.ctx, d.running.end = context.WithCancel(context.Background())
+}
+
+// Begin begins the stop. Later calls have no effect.
+func (d *Drainer) Begin(p Phases) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.began.IsZero() {
+		return
+	}
+	d.init()
+	d.began, d.phases = time.Now(), p
+	time.AfterFunc(p.Waits, d.waiting.end)
+	time.AfterFunc(p.Runs, d.running.end)
+}
+
+// Draining reports whether the stop has begun.
+func (d *Drainer) Draining() bool {
+	if d == nil {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.began.IsZero()
+}
+
+// Takes reports whether a new request is still accepted that may last for the time longest.
+func (d *Drainer) Takes(longest time.Duration) bool {
+	if !d.Draining() {
+		return true
+	}
+	since := time.Since(d.began)
+	return since < d.phases.Accepts || since < d.phases.Waits && longest <= d.RunLeft(longest)
+}
+
+// WaitLeft returns how much longer a request may wait to be sent, at most d.
+func (d *Drainer) WaitLeft(most time.Duration) time.Duration {
+	if !d.Draining() {
+		return most
+	}
+	return min(most, max(d.phases.Waits-time.Since(d.began), 0))
+}
+
+// RunLeft returns how much longer a request may run, at most d.
+func (d *Drainer) RunLeft(most time.Duration) time.Duration {
+	if !d.Draining() {
+		return most
+	}
+	return min(most, max(d.phases.Runs-time.Since(d.began), 0))
+}
+
+// WithWaits returns a context that ends with ErrDraining as its cause once requests may no longer wait to be sent.
+func (d *Drainer) WithWaits(ctx context.Context) (context.Context, context.CancelFunc) {
+	return d.with(ctx, func() phase { return d.waiting })
+}
+
+// WithRuns returns a context that ends with ErrDraining as its cause once requests may no longer run.
+func (d *Drainer) WithRuns(ctx context.Context) (context.Context, context.CancelFunc) {
+	return d.with(ctx, func() phase { return d.running })
+}
+
+func (d *Drainer) with(ctx context.Context, of func() phase) (context.Context, context.CancelFunc) {
+	if d == nil {
+		return context.WithCancel(ctx)
+	}
+	d.mu.Lock()
+	d.init()
+	ends := of().ctx
+	d.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(ends, func() { cancel(ErrDraining) })
+	return ctx, func() {
+		stop()
+		cancel(context.Canceled)
+	}
+}
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -31,6 +31,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/warmupdetector"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/authorizer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/delegator"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/drainer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/sender"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/timer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/claimer"
@@ -54,8 +55,10 @@
 	linkIdleTimeout = 20 * time.Second
 	// maxCallerAddresses is the largest number of addresses that callers accept.
 	maxCallerAddresses = 64
-	// stopMargin is the time reserved between the end of running requests and the end of the grace period.
-	stopMargin = 600 * time.Millisecond
+	// stopMargin is the time reserved between the end of running requests and the end of the grace period, and answerMargin that for their
+	// last responses.
+	stopMargin   = 600 * time.Millisecond
+	answerMargin = 100 * time.Millisecond
 )
 
 // Platform is the platform's API: the published configuration, and the protocol of replicas.
@@ -123,7 +126,7 @@
 	authorizer     *authorizer.Authorizer
 	retryLimiters  retryLimiters
 	heartbeatCount atomic.Uint64
-	draining       atomic.Bool
+	drainer        drainer.Drainer
 
 	// mu guards SeedAddresses, claimer and controllers.
 	mu              sync.Mutex
@@ -262,17 +265,20 @@
 // Ready reports whether the VM has a contract and replicas, and is not draining.
 func (e *Entry) Ready() bool {
 	p := e.watcher.Published()
-	return !e.draining.Load() && p.Contract != nil && len(p.Replicas) > 0
+	return !e.Leaving() && p.Contract != nil && len(p.Replicas) > 0
 }
 
 // Leaving reports whether the VM is draining.
-func (e *Entry) Leaving() bool { return e.draining.Load() }
+func (e *Entry) Leaving() bool { return e.drainer.Draining() }
 
-// Leave starts draining: the VM's address is no longer returned to callers. It returns how long to continue serving callers
-// that have the address cached.
+// Leave starts draining: the VM's address is no longer returned to callers. It returns how long callers that have the address cached are
+// served; later requests are refused at once.
 func (e *Entry) Leave() time.Duration {
-	e.draining.Store(true)
-	return min(addressTTLFactor*addressTTL+addressTTLMargin, e.Bounds.Grace/2)
+	serves := min(addressTTLFactor*addressTTL+addressTTLMargin, e.Bounds.Grace/2)
+	e.drainer.Begin(drainer.Phases{
+		Accepts: min(addressTTLFactor*addressTTL, serves), Waits: serves, Runs: max(e.Bounds.Grace-stopMargin-answerMargin, serves),
+	})
+	return serves
 }
 
 // StopTime returns how long running requests may continue once the time that Leave returned has been waited.
--- a/vm/entry/initialize.go
+++ b/vm/entry/initialize.go
@@ -124,10 +124,11 @@
 		Quarantiner: e.quarantiner, RetryBudget: &e.retryLimiters, Clock: e.timer.Now,
 		Log: e.Log, Observe: e.Observe, ObserveBodyEnd: e.ObserveBodyEnd,
 		Count: e.CountEvent, TimeUntilOwned: e.timeUntilOwned, Regions: e.Regions, Partition: &e.partition,
+		Drainer: &e.drainer,
 	}
 	e.delegator = &delegator.Delegator{
 		Self: e.VM, Partitioned: e.partition.Partitioned, Peers: e.delegationPeers, Dialer: e.dialer, Regions: e.Regions, Clock: e.timer.Now,
-		Log: e.Log, Count: e.CountEvent,
+		Log: e.Log, Count: e.CountEvent, Drainer: &e.drainer,
 		Local: func(ctx context.Context, req fuchsiaspoke.AdmittedRequest, m fuchsiaspoke.Message, out delegator.ResponseWriter) error {
 			return e.sender.Serve(ctx, req, m, out)
 		},
--- a/vm/sender/admission.go
+++ b/vm/sender/admission.go
@@ -19,6 +19,9 @@
 // engine that grants it.
 func (t *requestTask) acquireOrWait(ctx context.Context, relay *streamRelay) (*requester.Admission, fuchsiaspoke.Replica, error) {
 	waitUntil := t.Clock() + maxResumeWait
+	if relay.headSent.Load() {
+		t.waits = ctx
+	}
 	for {
 		admission, replica, refusal := t.acquireAdmission(ctx, relay.position.Load())
 		if refusal == nil || !relay.headSent.Load() || t.Clock() > waitUntil || !sleeper.Sleep(ctx, searchInterval) {
@@ -39,7 +42,7 @@
 		ctx, t.request.Service, t.request.Account, t.request.Demand, t.excludedEngines(position), t.request.Regions,
 	))
 	for i, choice := range choices {
-		if requested >= maxAdmissionRequests || ctx.Err() != nil {
+		if requested >= maxAdmissionRequests || t.waits.Err() != nil {
 			break
 		}
 		anyOwned = anyOwned || choice.Accepting
@@ -47,7 +50,7 @@
 			continue
 		}
 		if i == 0 {
-			t.waitForPause(ctx, choice.Replica)
+			t.waitForPause(t.waits, choice.Replica)
 		}
 		if !t.Permitter.MaySend(choice.Replica) || !t.isAllowed(choice.Replica) {
 			continue
@@ -67,7 +70,7 @@
 		}
 		earliest = withEarlierRetry(earliest, err)
 	}
-	if declinedWait > 0 && ctx.Err() == nil {
+	if declinedWait > 0 && t.waits.Err() == nil {
 		admission, err := t.acquireFromReadyEngine(ctx, lastDeclined, 0)
 		if admission != nil {
 			return admission, lastDeclined.Replica, nil
@@ -119,6 +122,9 @@
 
 // refuseWithoutAdmission returns the refusal for a request that no engine admitted.
 func (t *requestTask) refuseWithoutAdmission(refusal *fuchsiaspoke.Refusal, anyOwned bool) error {
+	if t.mayNotWait() {
+		return t.refuseAsDraining("waited for an engine")
+	}
 	if !t.outcomeUnknown && !t.executed {
 		if unservable := t.refuseUnservable(); unservable != nil {
 			return unservable
@@ -144,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if isSameProcess(admission, choice.Replica) && t.Permitter.Take(ctx, choice.Replica) {
+	if isSameProcess(admission, choice.Replica) && t.Permitter.Take(t.waits, choice.Replica) {
 		return admission, nil
 	}
 	admission.Release()
@@ -167,7 +173,7 @@
 	err := requester.ErrNoOwner
 	if choice.Accepting {
 		var admission *requester.Admission
-		if admission, err = t.Requester.Request(ctx, t.admissionRequest(choice, maxWait), choice.Owner); err == nil {
+		if admission, err = t.awaitAdmission(ctx, t.admissionRequest(choice, maxWait), choice.Owner); err == nil {
 			t.logRequest("place granted", "engine", choice.Replica.ID, "adapter", t.request.Demand.Adapter,
 				"software", choice.Replica.SoftwareVersion, "predicted_ms", choice.EstimatedWait.Milliseconds(), "wait_ms", admission.Wait.Milliseconds(),
 				"tokens_per_s", int64(choice.PrefillTokensPerMs*1000), "backlog_tokens", choice.BacklogTokens,
@@ -180,7 +186,7 @@
 			"limit_ms", maxWait.Milliseconds(), "error", err.Error(),
 		}, basisOf(err).LogFields()...)...)
 	}
-	if errors.Is(err, requester.ErrNoOwner) && t.servableWithoutOwner(choice) && ctx.Err() == nil {
+	if errors.Is(err, requester.ErrNoOwner) && t.servableWithoutOwner(choice) && t.waits.Err() == nil {
 		t.logRequest("place without a holder", "engine", choice.Replica.ID, "adapter", t.request.Demand.Adapter,
 			"software", choice.Replica.SoftwareVersion)
 		return admissionWithoutOwner(choice), nil
@@ -188,6 +194,29 @@
 	return nil, err
 }
 
+// awaitAdmission requests admission from an engine's owner. The wait ends with that of the request; an admission that was granted lasts as
+// long as ctx.
+func (t *requestTask) awaitAdmission(ctx context.Context, req fuchsiaspoke.AdmissionRequest, owner fuchsiaspoke.VM) (*requester.Admission, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	endsWait := context.AfterFunc(t.waits, cancel)
+	admission, err := t.Requester.Request(ctx, req, owner)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if !endsWait() {
+		admission.Release()
+		cancel()
+		return nil, context.Cause(t.waits)
+	}
+	release := admission.Release
+	admission.Release = func() {
+		release()
+		cancel()
+	}
+	return admission, nil
+}
+
 // withBasis adds to an owner's refusal that names no figures those by which this VM estimated the wait.
 func withBasis(err error, c selector.Choice) error {
 	var refusal *fuchsiaspoke.Refusal
@@ -257,6 +286,6 @@
 	}
 	return fuchsiaspoke.AdmissionRequest{
 		ID: t.request.ID, Account: account, Engine: c.Replica.ID, Demand: t.request.Demand, Priority: t.request.Priority,
-		DueIn: max(t.request.Due-now, 0), DeadlineIn: max(t.sendDeadline-now, 0), MaxWait: maxWait,
+		DueIn: max(t.request.Due-now, 0), DeadlineIn: t.Drainer.WaitLeft(max(t.sendDeadline-now, 0)), MaxWait: maxWait,
 	}
 }
--- a/vm/sender/plain.go
+++ b/vm/sender/plain.go
@@ -15,7 +15,10 @@
 func (t *requestTask) servePlain(ctx context.Context) error {
 	var last *reply
 	for {
-		replica, found := t.nextReplica(ctx)
+		replica, found := t.nextReplica(t.waits)
+		if t.mayNotWait() {
+			return t.refuseAsDraining("waited for a replica")
+		}
 		if !found || t.Clock() > t.sendDeadline-minSendTime {
 			return t.finalResponse(ctx, last, "no replica left to try before the deadline")
 		}
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -22,6 +22,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/selector"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/drainer"
 	"github.com/pkg/errors"
 )
 
@@ -139,6 +140,8 @@
 	Ramps ramps
 	// Partition tells faults of replicas from those of this VM's own links; nil takes all for faults of replicas.
 	Partition partition
+	// Drainer ends what waits and what runs when the VM stops; nil is that of a VM that does not stop.
+	Drainer *drainer.Drainer
 
 	loadFaults loadFaultLog
 	estimator  estimator.Estimator
@@ -150,13 +153,20 @@
 // caller, or else ErrResponseInterrupted or ErrCallerDisconnected.
 func (s *Sender) Serve(ctx context.Context, req fuchsiaspoke.AdmittedRequest, m fuchsiaspoke.Message, out responseWriter) error {
 	limit := min(req.Deadline, req.Arrived+req.Route.Timeout) - responseMargin
-	inner, cancel := context.WithTimeoutCause(ctx, max(limit-s.Clock(), 0), errRequestTimeout)
+	running, stopRunning := s.Drainer.WithRuns(ctx)
+	defer stopRunning()
+	inner, cancel := context.WithTimeoutCause(running, max(limit-s.Clock(), 0), errRequestTimeout)
 	defer cancel()
+	waits, stopWaits := s.Drainer.WithWaits(inner)
+	defer stopWaits()
 	t := &requestTask{
-		Sender: s, request: req, message: m, out: out, sendDeadline: limit, callerCtx: ctx,
+		Sender: s, request: req, message: m, out: out, sendDeadline: limit, callerCtx: ctx, waits: waits,
 		traits: fuchsiaspoke.Traits(req, m),
 	}
-	if refusal := t.findOrigin(inner); refusal != nil {
+	if !s.Drainer.Takes(limit - s.Clock()) {
+		return t.refuseAsDraining("may last longer than it")
+	}
+	if refusal := t.findOrigin(waits); refusal != nil {
 		return refusal
 	}
 	if refusal := t.admitTraits(); refusal != nil {
@@ -189,6 +199,8 @@
 	out          responseWriter
 	sendDeadline time.Duration
 	callerCtx    context.Context
+	// waits is the context of what happens before a send. It ends earlier than that of the request if the VM stops.
+	waits context.Context
 	// traits are what the request has in common with others, the last of them all that it is.
 	traits        []fuchsiaspoke.Trait
 	triedReplicas map[string]bool
@@ -243,7 +255,10 @@
 	}
 	if t.outcomeUnknown || t.executed {
 		status, code := http.StatusBadGateway, fuchsiaspoke.CodeUpstreamFailed
-		if ctx.Err() != nil {
+		switch {
+		case errors.Is(context.Cause(ctx), drainer.ErrDraining):
+			code = fuchsiaspoke.CodeDraining
+		case ctx.Err() != nil:
 			status, code = http.StatusGatewayTimeout, fuchsiaspoke.CodeDeadline
 		}
 		return &fuchsiaspoke.Refusal{Code: code, Message: reason, Run: fuchsiaspoke.RunUnknown, Status: status}
