An engine that holds an outdated adapter version counts as without it

Cause: the selector compared adapters by name alone, and an admission without an owner named no version, so that the engine wasn't told which one is expected. The log shows "place without a holder" at all other VMs until 7.4 s. Ruled out: late news of the version, the owner's order.

Change: an engine with an older version than the latest counts as one that has to load the adapter, with an owner or without. Every send expects the newest version that the sending VM knows, also where an owner that lags granted an older one.

--- a/upstream/finder/finder.go
+++ b/upstream/finder/finder.go
@@ -102,7 +102,9 @@
 		c.WorkStep = f.steps.latest(r.Incarnation(), c.View, len(p.Replicas))
 		candidates = append(candidates, c)
 	}
-	s := selector.Selector{Slots: p.Contract.Services[service].Engine.AdapterSlots}
+	s := selector.Selector{
+		Slots: p.Contract.Services[service].Engine.AdapterSlots, LatestVersion: p.AdapterVersion(d.Model, d.Adapter),
+	}
 	if f.Shares == nil || !f.Shares.Active(service) {
 		return s.Select(d, candidates)
 	}
--- a/upstream/selector/selector.go
+++ b/upstream/selector/selector.go
@@ -65,6 +65,8 @@
 type Selector struct {
 	// Slots is the number of adapter slots of one engine; 0 ignores busy slots.
 	Slots int
+	// LatestVersion is the newest announced version of the adapter; 0 if none was announced. An engine that holds an older one has to load it.
+	LatestVersion int64
 	// WithinShare means that fair queueing is active and the request's client account is served less than its share, so that it does not
 	// wait for what is beyond the shares of others.
 	WithinShare bool
@@ -75,9 +77,9 @@
 type Choice struct {
 	Replica       fuchsiaspoke.Replica
 	EstimatedWait time.Duration
-	// Resident means that the adapter was resident in the last known state of the engine.
+	// Resident means that the adapter was resident in the last known state of the engine, in its latest version.
 	Resident bool
-	// Loading means that the adapter was loading in that state; the load completes even if the engine has no owner any more.
+	// Loading means that it was loading in that state; the load completes even if the engine has no owner any more.
 	Loading bool
 	// Accepting means that the engine has an owner, which accepts admission requests for it.
 	Accepting bool
@@ -130,7 +132,7 @@
 	}
 	promptTokens := d.PromptTokens
 	if d.Adapter != "" {
-		choice.Resident, choice.Loading = adapterState(d, c)
+		choice.Resident, choice.Loading = s.adapterState(d, c)
 		choice.EstimatedWait += s.adapterWait(c, rank, choice, factor)
 		if choice.Resident {
 			promptTokens = lastPartTokens(d)
@@ -154,9 +156,12 @@
 	return v.FairBacklogTokens + beyondShares*backlogBeyondShareFactor
 }
 
-// adapterState reports whether the adapter was resident or loading in the last known state of the engine.
-func adapterState(d fuchsiaspoke.Demand, c Candidate) (resident, loading bool) {
-	matches := func(a fuchsiaspoke.Adapter) bool { return a.Name == d.Adapter }
+// adapterState reports whether the adapter was resident or loading in the last known state of the engine, in its latest version as far as
+// that is known.
+func (s Selector) adapterState(d fuchsiaspoke.Demand, c Candidate) (resident, loading bool) {
+	matches := func(a fuchsiaspoke.Adapter) bool {
+		return a.Name == d.Adapter && (a.Version == 0 || a.Version >= s.LatestVersion)
+	}
 	if c.View != nil {
 		return slices.ContainsFunc(c.View.Resident, matches), slices.ContainsFunc(c.View.Loading, matches)
 	}
--- a/vm/sender/admission.go
+++ b/vm/sender/admission.go
@@ -241,7 +241,7 @@
 }
 
 // servableWithoutOwner reports whether the engine can serve the request without an owner: an engine that receives no orders
-// keeps the adapters that it has loaded or is loading.
+// keeps the adapters that it has loaded or is loading, in the version that they have.
 func (t *requestTask) servableWithoutOwner(choice selector.Choice) bool {
 	return t.request.Demand.Adapter == "" || choice.Resident || choice.Loading
 }
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -158,7 +158,7 @@
 	}
 	t.Tracker.RecordStart(a.started, a.replica.ID)
 	response, err := t.send(a.ctx, fuchsiaspoke.SendOptions{
-		Replica: a.replica, TimeLeft: t.sendDeadline - a.started, Version: a.admission.Version, LastEvent: lastEvent,
+		Replica: a.replica, TimeLeft: t.sendDeadline - a.started, Version: t.expectedVersion(a), LastEvent: lastEvent,
 	})
 	if err != nil {
 		t.recordSendFailure(a.ctx, a.replica, a.started, err)
@@ -180,6 +180,17 @@
 	return t.handleFailure(a.replica, a.started, info, response)
 }
 
+// expectedVersion returns the version of the adapter at which the attempt may begin: the one that the engine's owner has granted, or a newer one
+// that this VM knows of. An owner that doesn't know of it yet, or none, must not have the request begin at an outdated one.
+func (t *requestTask) expectedVersion(a *attempt) int64 {
+	latest := t.Published().AdapterVersion(t.request.Demand.Model, t.request.Demand.Adapter)
+	if latest > a.admission.Version {
+		t.logRequest("newer adapter version expected", "engine", a.replica.ID, "adapter", t.request.Demand.Adapter, "version", latest,
+			"granted_version", a.admission.Version)
+	}
+	return max(a.admission.Version, latest)
+}
+
 // handleRefusal handles a response that says that the engine did not run the request. A misdirected request does not count
 // towards the route's maximum number of attempts.
 func (t *requestTask) handleRefusal(admission *requester.Admission, r fuchsiaspoke.Replica, info fuchsiaspoke.ResponseInfo, response *transport.Response) *outcome {
