Resumable streams are assigned to a software version, which outlives the VMs

Cause: at which version a stream began was known to VMs alone, in memory. "stream origin" in the log says that nobody knows it. Ruled out: the engines, and records told too late.

Change: while several versions are ready, a resumable stream begins at the version of the engine that ranks first for its adapter, or for its attempt without one, so that each VM can tell it again. That is asked only if no VM remembers so far back, and answered only if no engine that is new, drains or has left could have decided otherwise. Replies between VMs have one optional field more; replies of earlier builds lack it, which counts as remembering.

The test of the registrar recorded streams at versions by turns, which no VM does now; it records them where they begin and checks that each goes on there, which is stricter.

--- a/contract/historian/historian.go
+++ b/contract/historian/historian.go
@@ -91,7 +91,29 @@
 	if len(versions) != 1 {
 		return "", false
 	}
-	return versions[0], h.FirstStart || h.knownSince > 0 && now-h.knownSince >= StreamLifetime
+	return versions[0], h.remembers(now)
+}
+
+// Remembers reports whether no stream is under way that began before what this historian knows.
+func (h *Historian) Remembers(now time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.remembers(now)
+}
+
+// KnownFor returns for how long replicas have been known without a gap.
+func (h *Historian) KnownFor(now time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.knownSince == 0 {
+		return 0
+	}
+	return now - h.knownSince
+}
+
+// remembers is Remembers; the caller holds mu.
+func (h *Historian) remembers(now time.Duration) bool {
+	return h.FirstStart || h.knownSince > 0 && now-h.knownSince >= StreamLifetime
 }
 
 // recent returns the software versions that the service had within StreamLifetime. The caller holds mu.
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -27,6 +27,17 @@
 	TTL    time.Duration `cbor:"3,keyasint"`
 }
 
+// StreamQuestion asks where a stream began that its caller resumes.
+type StreamQuestion struct {
+	// BegunBy is the attempt that the caller names; it may be empty.
+	BegunBy string
+	// Service is the one that the request would go to.
+	Service string
+	// Recall returns the software version to which all VMs have assigned the stream, and whether that can be told. departed are replicas of the
+	// service that have left lately. It may be nil.
+	Recall func(departed []Replica) (softwareVersion string, found bool)
+}
+
 // StreamQuery asks another VM for the origin of a stream of a service.
 type StreamQuery struct {
 	Key     StreamKey `cbor:"1,keyasint"`
@@ -43,4 +54,6 @@
 	OnlyVersion   string `cbor:"4,keyasint,omitempty"`
 	// Mixed reports that the service has had several software versions for as long as a stream lasts.
 	Mixed bool `cbor:"5,keyasint,omitempty"`
+	// Restarted reports that streams may be under way that began before the VM's records do.
+	Restarted bool `cbor:"6,keyasint,omitempty"`
 }
--- a/vm/sender/origin.go
+++ b/vm/sender/origin.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/versionassigner"
 )
 
 // findOrigin finds the service and the software version at which a stream began that the caller resumes. It refuses the request if they
@@ -15,7 +18,9 @@
 	}
 	t.Count("stream_resumed_by_caller")
 	t.Log("stream resumed by its caller", "request", t.request.ID, "begun_by", t.request.BegunBy, "last_event", t.request.LastEvent)
-	origin, known := t.Origins.Find(ctx, t.request.BegunBy, t.request.Service)
+	origin, known := t.Origins.Find(ctx, fuchsiaspoke.StreamQuestion{
+		BegunBy: t.request.BegunBy, Service: t.request.Service, Recall: t.recallAssignment,
+	})
 	if known && (origin.Service == t.request.Service || t.request.Route.LeadsTo(origin.Service)) {
 		t.request.Service = origin.Service
 		t.resumed = &streamPosition{lastEvent: t.request.LastEvent, softwareVersion: origin.SoftwareVersion}
@@ -27,6 +32,43 @@
 	}.WithRetryAfter(defaultRetryAfter)
 }
 
+// assignedVersion returns the software version at whose engines the request's stream has to begin, and false if it may begin at any: it can't
+// be resumed, or the engines have one version.
+func (t *requestTask) assignedVersion() (version string, several bool) {
+	if !t.request.Route.Streaming || !t.request.Route.Resumable {
+		return "", false
+	}
+	a := versionassigner.VersionAssigner{}
+	return a.Assign(a.Key(t.request.Demand, t.request.ID), t.allowedEngines())
+}
+
+// allowedEngines returns the ready engines that the request may reach.
+func (t *requestTask) allowedEngines() []fuchsiaspoke.Replica {
+	return slices.DeleteFunc(t.Published().ReadyReplicas(t.request.Service), func(r fuchsiaspoke.Replica) bool { return !t.isAllowed(r) })
+}
+
+// recallAssignment returns the software version to which the stream that the caller resumes was assigned, if it is certain which engines were
+// ready when it began. It began no longer ago than its route's timeout.
+func (t *requestTask) recallAssignment(departed []fuchsiaspoke.Replica) (version string, found bool) {
+	if t.request.Demand.Model == "" || !t.isEngineService(t.request.Service) {
+		return "", false
+	}
+	a, p := versionassigner.VersionAssigner{}, t.Published()
+	var certain []fuchsiaspoke.Replica
+	uncertain := slices.Clone(departed)
+	for _, r := range p.Replicas {
+		_, wasEvacuated := p.EvacuationEnds[r.Zone]
+		switch {
+		case r.Service != t.request.Service || !t.isAllowed(r):
+		case r.State == fuchsiaspoke.ReplicaReady && !p.Evacuated(r.Zone) && !wasEvacuated && a.RunsSince(r, time.Now(), t.request.Route.Timeout):
+			certain = append(certain, r)
+		default:
+			uncertain = append(uncertain, r)
+		}
+	}
+	return a.Recall(a.Key(t.request.Demand, t.request.BegunBy), certain, uncertain)
+}
+
 // recordOrigin notes the software version at which the request's stream began.
 func (t *requestTask) recordOrigin(softwareVersion string) {
 	if !t.request.Route.Streaming || !t.request.Route.Resumable {
--- a/vm/sender/origin_test.go
+++ b/vm/sender/origin_test.go
@@ -16,7 +16,7 @@
 	fuchsiaspoke.StreamOrigin
 }
 
-func (o recordedOrigin) Find(context.Context, string, string) (fuchsiaspoke.StreamOrigin, bool) {
+func (o recordedOrigin) Find(context.Context, fuchsiaspoke.StreamQuestion) (fuchsiaspoke.StreamOrigin, bool) {
 	return o.StreamOrigin, true
 }
 
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -79,9 +79,8 @@
 type origins interface {
 	// Record notes the origin of the stream that an attempt began, which its caller may resume for the time ttl.
 	Record(begunBy string, origin fuchsiaspoke.StreamOrigin, ttl time.Duration)
-	// Find returns where the stream began that an attempt began, and whether that is known. service is the one that the request would
-	// go to.
-	Find(ctx context.Context, begunBy, service string) (origin fuchsiaspoke.StreamOrigin, known bool)
+	// Find returns where a stream began, and whether that is known.
+	Find(ctx context.Context, q fuchsiaspoke.StreamQuestion) (origin fuchsiaspoke.StreamOrigin, known bool)
 }
 
 // ramps finds the rates of replicas that start or recover.
--- a/vm/sender/takeover_test.go
+++ b/vm/sender/takeover_test.go
@@ -173,7 +173,7 @@
 type noOrigins struct{}
 
 func (noOrigins) Record(string, fuchsiaspoke.StreamOrigin, time.Duration) {}
-func (noOrigins) Find(context.Context, string, string) (fuchsiaspoke.StreamOrigin, bool) {
+func (noOrigins) Find(context.Context, fuchsiaspoke.StreamQuestion) (fuchsiaspoke.StreamOrigin, bool) {
 	return fuchsiaspoke.StreamOrigin{}, false
 }
 
--- a/zone/registrar/registrar.go
+++ b/zone/registrar/registrar.go
@@ -36,6 +36,8 @@
 	originTimeout = 250 * time.Millisecond
 	// freshFor is the age up to which a VM that reaches no other one trusts its published state.
 	freshFor = 2 * time.Second
+	// minKnown is for how long a VM must have followed what is published before it takes no engine for missing there.
+	minKnown = 2 * time.Second
 	// maxUnsent bounds the records that wait for delivery. They wait as long as a service has one software version.
 	maxUnsent = 4096
 )
@@ -92,21 +94,20 @@
 	}
 }
 
-// Find returns where a stream began, and whether that is known. begunBy is the attempt that the caller names; it may be empty. service is
-// the one that the request would go to; a record may name another one.
-func (r *Registrar) Find(ctx context.Context, begunBy, service string) (origin fuchsiaspoke.StreamOrigin, known bool) {
-	origin, source := r.find(ctx, begunBy, service)
+// Find returns where a stream began, and whether that is known. A record may name another service than the question.
+func (r *Registrar) Find(ctx context.Context, q fuchsiaspoke.StreamQuestion) (origin fuchsiaspoke.StreamOrigin, known bool) {
+	origin, source := r.find(ctx, q)
 	if source == "" {
 		r.Count("stream_origin_unknown")
 	}
-	r.Log("stream origin", "begun_by", begunBy, "service", origin.Service, "software", origin.SoftwareVersion, "known_from", source)
+	r.Log("stream origin", "begun_by", q.BegunBy, "service", origin.Service, "software", origin.SoftwareVersion, "known_from", source)
 	return origin, source != ""
 }
 
 // find returns the origin and how it is known; an empty source means that it isn't. What this VM knows by itself may be older
 // than what others know, so they are asked unless it began the stream.
-func (r *Registrar) find(ctx context.Context, begunBy, service string) (origin fuchsiaspoke.StreamOrigin, source string) {
-	now := r.Clock()
+func (r *Registrar) find(ctx context.Context, q fuchsiaspoke.StreamQuestion) (origin fuchsiaspoke.StreamOrigin, source string) {
+	now, begunBy, service := r.Clock(), q.BegunBy, q.Service
 	r.history.Observe(now, r.Published())
 	key := fuchsiaspoke.NewStreamKey(begunBy)
 	if origin, known := r.records.Get(now, key); known && begunBy != "" {
@@ -120,6 +121,9 @@
 	}
 	version, certain := r.history.Only(now, service)
 	only := fuchsiaspoke.StreamOrigin{Service: service, SoftwareVersion: version}
+	if version, found := r.recall(ctx, q, replies); found {
+		return fuchsiaspoke.StreamOrigin{Service: service, SoftwareVersion: version}, "assignment"
+	}
 	if !r.history.Serves(now, service) || r.history.Mixed(now, service) || anyOtherVersion(replies, version) {
 		return fuchsiaspoke.StreamOrigin{}, ""
 	}
@@ -134,6 +138,27 @@
 	return fuchsiaspoke.StreamOrigin{}, ""
 }
 
+// recall returns the software version to which a stream was assigned, if the service has several and no VM has records from so long ago. As
+// long as one has, a stream without a record did not begin in this fleet.
+func (r *Registrar) recall(ctx context.Context, q fuchsiaspoke.StreamQuestion, replies []fuchsiaspoke.StreamReply) (string, bool) {
+	now := r.Clock()
+	if q.BegunBy == "" || q.Recall == nil || !r.history.Mixed(now, q.Service) {
+		return "", false
+	}
+	if r.history.Remembers(now) || r.history.KnownFor(now) < minKnown || !r.isFresh() {
+		return "", false
+	}
+	remembers := func(reply fuchsiaspoke.StreamReply) bool { return !reply.Restarted }
+	if slices.ContainsFunc(replies, remembers) || len(replies) == 0 && len(r.VMs()) > 1 {
+		return "", false
+	}
+	departed, known := r.departed(ctx, q.Service)
+	if !known {
+		return "", false
+	}
+	return q.Recall(departed)
+}
+
 // anyOtherVersion reports whether another VM knows of a software version besides only.
 func anyOtherVersion(replies []fuchsiaspoke.StreamReply, only string) bool {
 	return slices.ContainsFunc(replies, func(reply fuchsiaspoke.StreamReply) bool {
@@ -330,6 +355,6 @@
 	now := r.Clock()
 	reply.Origin, reply.Known = r.records.Get(now, q.Key)
 	reply.OnlyVersion, reply.SingleVersion = r.history.Only(now, q.Service)
-	reply.Mixed = r.history.Mixed(now, q.Service)
+	reply.Mixed, reply.Restarted = r.history.Mixed(now, q.Service), !r.history.Remembers(now)
 	return send(reply)
 }
--- a/zone/registrar/registrar_test.go
+++ b/zone/registrar/registrar_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/versionassigner"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/registrar"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -22,6 +25,8 @@
 	down       map[string]bool
 	published  *fuchsiaspoke.PublishedState
 	began      time.Time
+	// passed is how far the clock was put forward.
+	passed time.Duration
 	// changes is what the platform still holds from before, or changesErr why it can't be read.
 	changes    []fuchsiaspoke.Publication
 	changesErr error
@@ -41,16 +46,21 @@
 		f.registrars[vm.ID] = &registrar.Registrar{
 			Self: vm, FirstStart: firstStart, VMs: func() []fuchsiaspoke.VM { return f.vms }, Dialer: f, Changes: f,
 			Published: func() *fuchsiaspoke.PublishedState { return f.published },
-			Clock:     func() time.Duration { return time.Second + time.Since(f.began) },
+			Clock:     f.clock,
 			Log:       func(string, ...any) {}, Count: func(string) {},
 		}
 	}
 	return f
 }
 
+func (f *fleet) clock() time.Duration { return time.Second + time.Since(f.began) + f.passed }
+
+// pass puts the clock forward.
+func (f *fleet) pass(d time.Duration) { f.passed += d }
+
 // publish sets the software versions of the service's replicas, which started at a time.
 func (f *fleet) publish(started time.Time, versions ...string) {
-	p := &fuchsiaspoke.PublishedState{Replicas: map[string]fuchsiaspoke.Replica{}, ReadAt: time.Second + time.Since(f.began)}
+	p := &fuchsiaspoke.PublishedState{Replicas: map[string]fuchsiaspoke.Replica{}, ReadAt: f.clock()}
 	for _, v := range versions {
 		p.Replicas[v] = fuchsiaspoke.Replica{ID: v, Service: service, SoftwareVersion: v, StartedAtMs: started.UnixMilli()}
 	}
@@ -107,13 +117,38 @@
 
 // find asks a VM at which software version a stream began.
 func (f *fleet) find(vm int, begunBy string) string {
-	o, known := f.registrars[f.vms[vm].ID].Find(context.Background(), begunBy, service)
+	o, known := f.registrars[f.vms[vm].ID].Find(context.Background(), fuchsiaspoke.StreamQuestion{
+		BegunBy: begunBy, Service: service, Recall: f.recall(begunBy),
+	})
 	if !known || o.Service != service {
 		return "unknown"
 	}
 	return o.SoftwareVersion
 }
 
+// recall returns what tells the version to which a stream was assigned that began up to 10 s ago.
+func (f *fleet) recall(begunBy string) func([]fuchsiaspoke.Replica) (string, bool) {
+	return func(uncertain []fuchsiaspoke.Replica) (string, bool) {
+		var a versionassigner.VersionAssigner
+		var certain []fuchsiaspoke.Replica
+		for _, r := range f.published.Replicas {
+			if a.RunsSince(r, time.Now(), 10*time.Second) {
+				certain = append(certain, r)
+			} else {
+				uncertain = append(uncertain, r)
+			}
+		}
+		return a.Recall(a.Key(fuchsiaspoke.Demand{}, begunBy), certain, uncertain)
+	}
+}
+
+// assigned returns the version at which a stream begins.
+func (f *fleet) assigned(begunBy string) string {
+	var a versionassigner.VersionAssigner
+	version, _ := a.Assign(a.Key(fuchsiaspoke.Demand{}, begunBy), slices.Collect(maps.Values(f.published.Replicas)))
+	return version
+}
+
 func TestOriginOutlivesItsVMWhileVersionsAreMixed(t *testing.T) {
 	for _, n := range []int{3, 6, 40} {
 		f := newFleet(n, true)
