VMs on one side of a partition no longer confirm each other's software versions

Ruled out: a VM that wakes with an old response in its socket, whose age is counted from the call.

Change: such an answer wants a read of the platform that begins after the request (shared by requests at the same time, golang.org/x/sync), or, if the platform can't be read, no silent VM.

--- a/contract/changereader/changereader.go
+++ b/contract/changereader/changereader.go
@@ -1,4 +1,5 @@
-// Package changereader reads the changes that the platform still holds from before this process started.
+// Package changereader reads changes from the platform: those that it still holds from before this process started, and those that this VM may
+// not have heard of.
 package changereader
 
 import (
@@ -7,6 +8,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
@@ -22,11 +24,47 @@
 	Watch(ctx context.Context, after int64, wait time.Duration) (fuchsiaspoke.PublicationList, error)
 }
 
+// newsTimeout bounds ReadNews.
+const newsTimeout = 250 * time.Millisecond
+
 // ChangeReader reads the platform's change history, which reaches back for a limited time. All fields must be set before the first call.
 type ChangeReader struct {
 	Platform platform
 	// Revision returns the newest revision that is known.
 	Revision func() fuchsiaspoke.Revision
+
+	news singleflight.Group
+}
+
+// ReadNews returns the changes after the newest revision that is known. Calls at the same time share one call to the platform, which ends
+// within newsTimeout.
+func (c *ChangeReader) ReadNews(ctx context.Context) ([]fuchsiaspoke.Publication, error) {
+	read := c.news.DoChan("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), newsTimeout)
+		defer cancel()
+		return c.readNews(ctx)
+	})
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case result := <-read:
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		return result.Val.([]fuchsiaspoke.Publication), nil
+	}
+}
+
+func (c *ChangeReader) readNews(ctx context.Context) ([]fuchsiaspoke.Publication, error) {
+	known := c.Revision()
+	if known.Number == 0 {
+		return nil, errors.New("nothing is known of the platform yet")
+	}
+	list, err := c.Platform.Watch(ctx, known.Number, 0)
+	if err == nil && list.Revision.Epoch != known.Epoch {
+		err = errors.Wrapf(fuchsiaspoke.ErrHistoryDiscarded, "known is %s, platform is at %s", known, list.Revision)
+	}
+	return list.Items, err
 }
 
 // Read returns the changes up to the known revision that the platform still holds, but for an eighth of them, the oldest ones. The platform
--- a/vm/entry/initialize.go
+++ b/vm/entry/initialize.go
@@ -115,7 +115,7 @@
 		Platform: e.Platform.Publisher, Revision: func() fuchsiaspoke.Revision { return e.watcher.Published().Revision },
 	}
 	e.registrar = &registrar.Registrar{
-		Self: e.VM, Changes: changes, FirstStart: e.FirstStart, VMs: e.recordKeepers, Published: e.watcher.Published, Dialer: e.dialer, Clock: e.timer.Now, Log: e.Log,
+		Self: e.VM, Changes: changes, FirstStart: e.FirstStart, VMs: e.recordKeepers, AnySilent: e.anySilent, Published: e.watcher.Published, Dialer: e.dialer, Clock: e.timer.Now, Log: e.Log,
 		Count: e.CountEvent,
 	}
 	e.sender = &sender.Sender{
--- a/vm/entry/peers.go
+++ b/vm/entry/peers.go
@@ -163,6 +163,11 @@
 	return append([]fuchsiaspoke.VM{e.VM}, e.reachableHubs()...)
 }
 
+// anySilent reports whether this VM hears nothing of a VM that it knows.
+func (e *Entry) anySilent() bool {
+	return slices.ContainsFunc(e.membership.Peers(e.timer.Now()), func(p membership.Peer) bool { return !p.Reachable })
+}
+
 // granters returns the VMs that may grant tokens of limited replicas: the hubs that are reachable.
 func (e *Entry) granters() []fuchsiaspoke.VM {
 	var out []fuchsiaspoke.VM
--- a/zone/registrar/registrar.go
+++ b/zone/registrar/registrar.go
@@ -43,7 +43,10 @@
 )
 
 type changes interface {
+	// Read returns the changes that the platform still holds from before this process.
 	Read(ctx context.Context) ([]fuchsiaspoke.Publication, error)
+	// ReadNews returns the changes after those that this VM knows.
+	ReadNews(ctx context.Context) ([]fuchsiaspoke.Publication, error)
 }
 
 type dialer interface {
@@ -58,7 +61,9 @@
 	// VMs returns the VMs, this one included, among which the keepers of records are chosen.
 	VMs       func() []fuchsiaspoke.VM
 	Published func() *fuchsiaspoke.PublishedState
-	// Changes reads what the platform still holds of changes from before this process.
+	// AnySilent reports whether this VM hears nothing of a VM that it knows.
+	AnySilent func() bool
+	// Changes reads what this VM has not heard of the platform's changes.
 	Changes changes
 	Dialer  dialer
 	Clock   func() time.Duration
@@ -127,8 +132,11 @@
 	if !r.history.Serves(now, service) || r.history.Mixed(now, service) || anyOtherVersion(replies, version) {
 		return fuchsiaspoke.StreamOrigin{}, ""
 	}
+	if !r.confirmOnly(ctx, only, len(replies)) {
+		return fuchsiaspoke.StreamOrigin{}, ""
+	}
 	switch {
-	case certain && (len(replies) > 0 || r.isFresh()):
+	case certain:
 		return only, "only_version"
 	case anyCertain(replies):
 		return only, "only_version_of_another_vm"
@@ -138,6 +146,20 @@
 	return fuchsiaspoke.StreamOrigin{}, ""
 }
 
+// confirmOnly reports whether no other VM can know of a software version besides only, at which it may have begun streams: the platform has
+// just been read, or, if it can't be, this VM and those that replied are on no side of a partition. VMs on one side of it confirm each other.
+func (r *Registrar) confirmOnly(ctx context.Context, only fuchsiaspoke.StreamOrigin, replies int) bool {
+	news, err := r.Changes.ReadNews(ctx)
+	if err != nil {
+		confirmed := !r.AnySilent() && (replies > 0 || r.isFresh())
+		r.Log("software versions not read anew", "service", only.Service, "confirmed_by_vms", confirmed, "replies", replies, "error", err.Error())
+		return confirmed
+	}
+	return !slices.ContainsFunc(news, func(p fuchsiaspoke.Publication) bool {
+		return p.Replica != nil && p.Replica.Service == only.Service && p.Replica.SoftwareVersion != only.SoftwareVersion
+	})
+}
+
 // recall returns the software version to which a stream was assigned, if the service has several and no VM has records from so long ago. As
 // long as one has, a stream without a record did not begin in this fleet.
 func (r *Registrar) recall(ctx context.Context, q fuchsiaspoke.StreamQuestion, replies []fuchsiaspoke.StreamReply) (string, bool) {
--- a/zone/registrar/registrar_test.go
+++ b/zone/registrar/registrar_test.go
@@ -30,6 +30,10 @@
 	// changes is what the platform still holds from before, or changesErr why it can't be read.
 	changes    []fuchsiaspoke.Publication
 	changesErr error
+	// news is what the platform holds that no VM has heard of, and newsErr why it can't be read; silent means that a VM is not heard.
+	news    []fuchsiaspoke.Publication
+	newsErr error
+	silent  bool
 }
 
 // Read returns the changes that the platform holds.
@@ -37,6 +41,11 @@
 	return f.changes, f.changesErr
 }
 
+// ReadNews returns what the platform holds that no VM has heard of.
+func (f *fleet) ReadNews(context.Context) ([]fuchsiaspoke.Publication, error) {
+	return f.news, f.newsErr
+}
+
 func newFleet(n int, firstStart bool) *fleet {
 	f := &fleet{registrars: map[string]*registrar.Registrar{}, down: map[string]bool{}, began: time.Now()}
 	for i := range n {
@@ -46,8 +55,8 @@
 		f.registrars[vm.ID] = &registrar.Registrar{
 			Self: vm, FirstStart: firstStart, VMs: func() []fuchsiaspoke.VM { return f.vms }, Dialer: f, Changes: f,
 			Published: func() *fuchsiaspoke.PublishedState { return f.published },
-			Clock:     f.clock,
-			Log:       func(string, ...any) {}, Count: func(string) {},
+			Clock:     f.clock, AnySilent: func() bool { return f.silent },
+			Log: func(string, ...any) {}, Count: func(string) {},
 		}
 	}
 	return f
--- a/zone/registrar/restart_test.go
+++ b/zone/registrar/restart_test.go
@@ -12,7 +12,7 @@
 	for _, id := range ids {
 		old := f.registrars[id]
 		f.registrars[id] = &registrar.Registrar{
-			Self: old.Self, VMs: old.VMs, Dialer: old.Dialer, Changes: old.Changes, Published: old.Published, Clock: old.Clock, Log: old.Log, Count: old.Count,
+			Self: old.Self, VMs: old.VMs, Dialer: old.Dialer, Changes: old.Changes, AnySilent: old.AnySilent, Published: old.Published, Clock: old.Clock, Log: old.Log, Count: old.Count,
 		}
 	}
 }
