A stream that has begun goes on with events alone

Error statuses were handled already.

Change: a begun stream doesn't go on with another content type or with lines that are no field of an event, and a stream that ended with its connection before any event counts as broken off. Another engine is asked, or the stream is cut.

--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -26,14 +26,22 @@
 // the connection of a process that died ends like that of a response without a length.
 var errEndedInsideEvent = errors.New("stream ended inside an event")
 
+// errNotAnEvent is the error of a stream that has begun and goes on with something else: another type of content, or lines that are no field
+// of an event, such as the text of an error or the head of another response.
+var errNotAnEvent = errors.New("stream goes on with something that is no event")
+
+// errNoEvent is the error of a response without any event that ends with its connection. Nothing shows that it is whole.
+var errNoEvent = errors.New("stream ended with its connection before an event")
+
 // streamRelay relays complete events to the caller, over one attempt or several consecutive ones.
 type streamRelay struct {
 	out      responseWriter
 	headSent atomic.Bool
 	// position is where the stream stands; nil until its first event was sent. A search for another engine reads it meanwhile.
 	position atomic.Pointer[streamPosition]
-	// softwareVersion is that of the engine whose events are relayed.
+	// softwareVersion is that of the engine whose events are relayed, and relayedAny means that it has sent one.
 	softwareVersion string
+	relayedAny      bool
 	// onBegin is called with the software version before the first event is sent.
 	onBegin  func(softwareVersion string)
 	splitter eventsplitter.Splitter
@@ -94,8 +102,11 @@
 func (r *streamRelay) relayEvents(
 	response *transport.Response, from io.Reader, softwareVersion string, receive func(progress bool) bool, relayed func(),
 ) error {
-	r.splitter, r.softwareVersion = eventsplitter.Splitter{}, softwareVersion
+	r.splitter, r.softwareVersion, r.relayedAny = eventsplitter.Splitter{}, softwareVersion, false
 	r.order.restart()
+	if r.headSent.Load() && !mayBeEventStream(response.Header) {
+		return errNotAnEvent
+	}
 	body := bytelimiter.Limiter{Reader: from}
 	body.Limit("response stream", r.maxBytes)
 	buffer := make([]byte, readBufferBytes)
@@ -135,6 +146,9 @@
 	if !mayBeEventStream(response.Header) {
 		return r.sendEvents(response, events)
 	}
+	if r.position.Load() != nil && !areEvents(events) {
+		return errNotAnEvent
+	}
 	inOrder, orderErr := r.order.accept(events)
 	if err := r.sendEvents(response, inOrder); err != nil {
 		return err
@@ -147,6 +161,7 @@
 	if len(events) == 0 {
 		return nil
 	}
+	r.relayedAny = true
 	if r.position.Load() == nil {
 		r.onBegin(r.softwareVersion)
 	}
@@ -178,6 +193,9 @@
 	if len(rest) > 0 && mayBeEventStream(response.Header) {
 		return errEndedInsideEvent
 	}
+	if isEventStream(response.Header) && !r.relayedAny && response.Framing() == fuchsiaspoke.FramedByConnection {
+		return errNoEvent
+	}
 	r.sendHead(response)
 	if len(rest) == 0 {
 		return nil
@@ -210,6 +228,17 @@
 	return fuchsiaspoke.BodyComplete
 }
 
+// areEvents reports whether each line is a comment or begins with the name of a field, which consists of small letters, digits and hyphens.
+func areEvents(events []byte) bool {
+	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.ContainsFunc(name, func(c rune) bool { return c != '-' && (c < 'a' || c > 'z') && (c < '0' || c > '9') }) {
+			return false
+		}
+	}
+	return true
+}
+
 // hasData reports whether an event has data.
 func hasData(events []byte) bool {
 	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
--- a/vm/sender/takeover.go
+++ b/vm/sender/takeover.go
@@ -45,6 +45,12 @@
 		a.end(nil)
 		return nil
 	}
+	if r.headSent.Load() && !mayBeEventStream(a.response.Header) {
+		t.recordSendFailure(ctx, replica, a.started, &fuchsiaspoke.SendError{Peer: replica.Address, Step: "read head", Cause: errNotAnEvent})
+		t.outcomeUnknown = true
+		a.end(nil)
+		return nil
+	}
 	if err := a.awaitData(); err != nil {
 		t.recordSendFailure(ctx, replica, a.started, &fuchsiaspoke.SendError{Peer: replica.Address, Step: "read first event", Cause: err})
 		t.recordCrash(a.ctx, a.replica, err)
