--- a/vm/drainer/drainer.go
+++ b/vm/drainer/drainer.go
@@ -6,27 +6,18 @@
 	"sync"
 	"time"
 
+	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/pkg/errors"
 )
 
 // ErrDraining is the cause with which a context of WithWaits or WithRuns ends when the VM stops.
 var ErrDraining = errors.New("the VM is stopping")
 
-// Phases are the times from the beginning of a VM's stop after which it takes and does less.
-type Phases struct {
-	// Accepts is how long requests are accepted that may run for longer than Runs leaves them.
-	Accepts time.Duration
-	// Waits is how long requests may wait to be sent to a replica; later ones are refused at once.
-	Waits time.Duration
-	// Runs is how long requests that were sent may run.
-	Runs time.Duration
-}
-
 // Drainer knows in which phase of its stop a VM is. Its zero value is that of a VM that does not stop, and so is nil.
 type Drainer struct {
 	mu      sync.Mutex
 	began   time.Time
-	phases  Phases
+	phases  fuchsiaspoke.StopPhases
 	waiting phase
 	running phase
 }
@@ -47,7 +38,7 @@
 }
 
 // Begin begins the stop. Later calls have no effect.
-func (d *Drainer) Begin(p Phases) {
+func (d *Drainer) Begin(p fuchsiaspoke.StopPhases) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.began.IsZero() {
@@ -78,7 +69,7 @@
 	return since < d.phases.Accepts || since < d.phases.Waits && longest <= d.RunLeft(longest)
 }
 
-// WaitLeft returns how much longer a request may wait to be sent, at most d.
+// WaitLeft returns how much longer a request may wait to be sent, at most the time most.
 func (d *Drainer) WaitLeft(most time.Duration) time.Duration {
 	if !d.Draining() {
 		return most
@@ -86,7 +77,7 @@
 	return min(most, max(d.phases.Waits-time.Since(d.began), 0))
 }
 
-// RunLeft returns how much longer a request may run, at most d.
+// RunLeft returns how much longer a request may run, at most the time most.
 func (d *Drainer) RunLeft(most time.Duration) time.Duration {
 	if !d.Draining() {
 		return most
--- a/vm/drainer/drainer_test.go
+++ b/vm/drainer/drainer_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/drainer"
 )
 
@@ -21,7 +22,7 @@
 		if d.Draining() || !d.Takes(time.Hour) || waits.Err() != nil || d.WaitLeft(time.Hour) != time.Hour {
 			t.Fatal("a VM that does not stop ends a phase")
 		}
-		d.Begin(drainer.Phases{Accepts: 3 * time.Second, Waits: 4 * time.Second, Runs: 7 * time.Second})
+		d.Begin(fuchsiaspoke.StopPhases{Accepts: 3 * time.Second, Waits: 4 * time.Second, Runs: 7 * time.Second})
 		time.Sleep(3500 * time.Millisecond)
 		if d.Takes(4*time.Second) || !d.Takes(3*time.Second) || waits.Err() != nil || d.WaitLeft(time.Hour) != 500*time.Millisecond {
 			t.Error("after the first phase those requests alone are refused that may not end in time")
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -275,7 +275,7 @@
 // served; later requests are refused at once.
 func (e *Entry) Leave() time.Duration {
 	serves := min(addressTTLFactor*addressTTL+addressTTLMargin, e.Bounds.Grace/2)
-	e.drainer.Begin(drainer.Phases{
+	e.drainer.Begin(fuchsiaspoke.StopPhases{
 		Accepts: min(addressTTLFactor*addressTTL, serves), Waits: serves, Runs: max(e.Bounds.Grace-stopMargin-answerMargin, serves),
 	})
 	return serves
--- a/vm/sender/plain.go
+++ b/vm/sender/plain.go
@@ -16,7 +16,7 @@
 	var last *reply
 	for {
 		replica, found := t.nextReplica(t.waits)
-		if t.mayNotWait() {
+		if t.mayNotWait() && last == nil && !t.outcomeUnknown {
 			return t.refuseAsDraining("waited for a replica")
 		}
 		if !found || t.Clock() > t.sendDeadline-minSendTime {
