--- a/vm/sender/admission.go
+++ b/vm/sender/admission.go
@@ -83,8 +83,8 @@
 // excludedEngines returns the engines that may not be sent to: those that were tried, those whose limit is reached, and those of other
 // software versions than that of a stream that has begun, or at which one is to begin.
 func (t *requestTask) excludedEngines(position *streamPosition) map[string]bool {
-	if version, several := t.assignedVersion(); position == nil && several {
-		position = &streamPosition{softwareVersion: version}
+	if position == nil {
+		position = t.assignedPosition()
 	}
 	if position == nil && !t.Permitter.AnyLimitReached() {
 		return t.triedReplicas
--- a/vm/sender/origin.go
+++ b/vm/sender/origin.go
@@ -32,14 +32,18 @@
 	}.WithRetryAfter(defaultRetryAfter)
 }
 
-// assignedVersion returns the software version at whose engines the request's stream has to begin, and false if it may begin at any: it can't
-// be resumed, or the engines have one version.
-func (t *requestTask) assignedVersion() (version string, several bool) {
+// assignedPosition returns the position of a new stream that has to begin at the engines of one software version, and nil if it may begin at any:
+// it can't be resumed, or the engines have one version.
+func (t *requestTask) assignedPosition() *streamPosition {
 	if !t.request.Route.Streaming || !t.request.Route.Resumable {
-		return "", false
+		return nil
 	}
 	a := versionassigner.VersionAssigner{}
-	return a.Assign(a.Key(t.request.Demand, t.request.ID), t.allowedEngines())
+	version, several := a.Assign(a.Key(t.request.Demand, t.request.ID), t.allowedEngines())
+	if !several {
+		return nil
+	}
+	return &streamPosition{softwareVersion: version}
 }
 
 // allowedEngines returns the ready engines that the request may reach.
