--- a/vm/drainer/drainer.go
+++ b/vm/drainer/drainer.go
@@ -60,6 +60,14 @@
 	return !d.began.IsZero()
 }
 
+// Since returns for how long the VM has been stopping; 0 if it isn't.
+func (d *Drainer) Since() time.Duration {
+	if !d.Draining() {
+		return 0
+	}
+	return max(time.Since(d.began), 1)
+}
+
 // Takes reports whether a new request is still accepted that may last for the time longest.
 func (d *Drainer) Takes(longest time.Duration) bool {
 	if !d.Draining() {
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -271,6 +271,9 @@
 // Leaving reports whether the VM is draining.
 func (e *Entry) Leaving() bool { return e.drainer.Draining() }
 
+// StoppingFor returns for how long the VM has been draining; 0 if it isn't.
+func (e *Entry) StoppingFor() time.Duration { return e.drainer.Since() }
+
 // Leave starts draining: the VM's address is no longer returned to callers. It returns how long callers that have the address cached are
 // served; later requests are refused at once.
 func (e *Entry) Leave() time.Duration {
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -252,6 +252,9 @@
 func (t *requestTask) logRequest(event string, keysAndValues ...any) {
 	fields := make([]any, 0, 8+len(keysAndValues))
 	fields = append(fields, "request", t.request.ID, "account", t.request.Account, "route", t.request.Route.Name, "priority", t.request.Priority)
+	if since := t.Drainer.Since(); since > 0 {
+		fields = append(fields, "stopping_ms", since.Milliseconds())
+	}
 	t.Log(event, append(fields, keysAndValues...)...)
 }
 
