A VM that stops takes long requests only while SIGTERM can't have been sent three seconds ago

What callers saw: streams of several seconds, sent some three seconds after SIGTERM, with status 200, were cut as the process ended. Class: a wait or a piece of work that is bounded by something else than the end of the VM.

--- a/vm/drainer/drainer.go
+++ b/vm/drainer/drainer.go
@@ -70,11 +70,19 @@
 
 // Takes reports whether a new request is still accepted that may last for the time longest.
 func (d *Drainer) Takes(longest time.Duration) bool {
+	since := d.Since()
+	return since == 0 || since < d.phases.Accepts || since < d.phases.Waits && d.Outlasts(longest)
+}
+
+// Outlasts reports whether the VM goes on for as long as a request may last that begins now.
+func (d *Drainer) Outlasts(longest time.Duration) bool { return longest <= d.RunLeft(longest) }
+
+// Left returns how long the process goes on, at most the time most.
+func (d *Drainer) Left(most time.Duration) time.Duration {
 	if !d.Draining() {
-		return true
+		return most
 	}
-	since := time.Since(d.began)
-	return since < d.phases.Accepts || since < d.phases.Waits && longest <= d.RunLeft(longest)
+	return min(most, max(d.phases.End-time.Since(d.began), 0))
 }
 
 // WaitLeft returns how much longer a request may wait to be sent, at most the time most.
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -55,10 +55,6 @@
 	linkIdleTimeout = 20 * time.Second
 	// maxCallerAddresses is the largest number of addresses that callers accept.
 	maxCallerAddresses = 64
-	// stopMargin is the time reserved between the end of running requests and the end of the grace period, and answerMargin that for their
-	// last responses.
-	stopMargin   = 600 * time.Millisecond
-	answerMargin = 100 * time.Millisecond
 )
 
 // Platform is the platform's API: the published configuration, and the protocol of replicas.
@@ -277,14 +273,10 @@
 // Leave starts draining: the VM's address is no longer returned to callers. It returns how long callers that have the address cached are
 // served; later requests are refused at once.
 func (e *Entry) Leave() time.Duration {
-	serves := min(addressTTLFactor*addressTTL+addressTTLMargin, e.Bounds.Grace/2)
-	e.drainer.Begin(fuchsiaspoke.StopPhases{
-		Accepts: min(addressTTLFactor*addressTTL, serves), Waits: serves, Runs: max(e.Bounds.Grace-stopMargin-answerMargin, serves),
-	})
-	return serves
+	phases := fuchsiaspoke.NewStopPhases(e.Bounds.Grace, addressTTLFactor*addressTTL+addressTTLMargin)
+	e.drainer.Begin(phases)
+	return phases.Waits
 }
 
-// StopTime returns how long running requests may continue once the time that Leave returned has been waited.
-func (e *Entry) StopTime(waited time.Duration) time.Duration {
-	return max(e.Bounds.Grace-waited-stopMargin, 0)
-}
+// StopTime returns how much longer the process goes on after Leave, whatever runs.
+func (e *Entry) StopTime() time.Duration { return e.drainer.Left(e.Bounds.Grace) }
