A VM that stops completes the requests that other VMs have passed on to it

And a VM that stops refuses a request of another VM that may last longer than itself: the other's own stop excuses only what its replica works on near its own end; that VM asks the next one (TestStoppingVMTakesNoRequestOfAnotherVMThatMayLastLonger, unit test, 4 s left of 3).

--- a/vm/delegator/delegator.go
+++ b/vm/delegator/delegator.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
+	"github.com/fuchsiaspoke/fuchsiaspoke/timeline/sleeper"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/drainer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/sender"
 	"github.com/fxamacker/cbor/v2"
@@ -34,6 +36,8 @@
 	// maxUnreachableRetryAfter bounds the random Retry-After of requests that no VM can serve, and minUnreachableRetryAfter is the least one.
 	minUnreachableRetryAfter = 500 * time.Millisecond
 	maxUnreachableRetryAfter = time.Second
+	// servedPollInterval is how often a VM that stops checks whether it still serves requests of other VMs.
+	servedPollInterval = 20 * time.Millisecond
 	// ownZoneShare is the share of the capacity of this VM's availability zone that must be left for requests to stay in it.
 	ownZoneShare = 0.5
 )
@@ -78,6 +82,18 @@
 	mu sync.Mutex
 	// refusedAt holds when VMs have last refused a request as they reach no replica.
 	refusedAt map[string]time.Duration
+	// served counts the requests of other VMs that are being served.
+	served atomic.Int64
+}
+
+// AwaitServed waits until no request of another VM is being served, or ctx ends.
+func (d *Delegator) AwaitServed(ctx context.Context) error {
+	for d.served.Load() > 0 {
+		if !sleeper.Sleep(ctx, servedPollInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
 }
 
 // Serve serves a request at this VM, or through another one while this VM is partitioned from all replicas. Its errors are those of
@@ -292,12 +308,20 @@
 			Code: fuchsiaspoke.CodeInvalidRequest, Message: err.Error(), Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable,
 		}
 	}
+	if longest := delegation.ReceivedAt(d.Clock()).Deadline - d.Clock(); !d.Drainer.Outlasts(longest) {
+		return &fuchsiaspoke.Refusal{
+			Code: fuchsiaspoke.CodeDraining, Message: "the VM to which the request was passed is stopping, and it may last longer", Run: fuchsiaspoke.NotRun,
+			Status: http.StatusServiceUnavailable,
+		}
+	}
 	if d.Partitioned() {
 		return unreachable("the VM to which the request was passed reaches no replica either").WithRetryAfter(minUnreachableRetryAfter)
 	}
 	d.Count("delegated_request_received")
 	req := delegation.ReceivedAt(d.Clock())
 	d.Log("delegated request received", "request", req.ID, "account", req.Account, "route", req.Route.Name, "peer", peer)
+	d.served.Add(1)
+	defer d.served.Add(-1)
 	return d.Local(ctx, req, delegation.Message, &partWriter{send: send})
 }
 
--- a/vm/delegator/delegator_test.go
+++ b/vm/delegator/delegator_test.go
@@ -14,6 +14,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/delegator"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/drainer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/sender"
 	"github.com/fxamacker/cbor/v2"
 	pkgerrors "github.com/pkg/errors"
@@ -234,3 +235,33 @@
 		}
 	}
 }
+
+// A VM that stops cut long requests that it had taken for another VM, whose own stop excuses that no more.
+func TestStoppingVMTakesNoRequestOfAnotherVMThatMayLastLonger(t *testing.T) {
+	var stopping drainer.Drainer
+	stopping.Begin(fuchsiaspoke.StopPhases{Accepts: time.Second, Waits: 2 * time.Second, Runs: 3 * time.Second, End: 4 * time.Second})
+	for _, c := range []struct {
+		timeLeft time.Duration
+		taken    bool
+	}{{4 * time.Second, false}, {time.Second, true}} {
+		t.Run(c.timeLeft.String(), func(t *testing.T) {
+			taken := false
+			d := newDelegator(&fakeLinks{})
+			d.Drainer, d.Partitioned = &stopping, func() bool { return false }
+			d.Local = func(context.Context, fuchsiaspoke.AdmittedRequest, fuchsiaspoke.Message, delegator.ResponseWriter) error {
+				taken = true
+				return nil
+			}
+			f, err := frame.New(delegator.MethodServe, fuchsiaspoke.Delegation{TimeLeft: c.timeLeft})
+			if err != nil {
+				t.Fatal(err)
+			}
+			err = d.Handle(t.Context(), "peer", f, func(any) error { return nil })
+			var refusal *fuchsiaspoke.Refusal
+			refused := errors.As(err, &refusal) && refusal.Code == fuchsiaspoke.CodeDraining && refusal.Run == fuchsiaspoke.NotRun
+			if taken != c.taken || refused == c.taken {
+				t.Errorf("taken %t with the error %v, want %t", taken, err, c.taken)
+			}
+		})
+	}
+}
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -270,6 +270,9 @@
 // StoppingFor returns for how long the VM has been draining; 0 if it isn't.
 func (e *Entry) StoppingFor() time.Duration { return e.drainer.Since() }
 
+// AwaitDelegated waits until no request of another VM is served here, or ctx ends.
+func (e *Entry) AwaitDelegated(ctx context.Context) error { return e.delegator.AwaitServed(ctx) }
+
 // Leave starts draining: the VM's address is no longer returned to callers. It returns how long callers that have the address cached are
 // served; later requests are refused at once.
 func (e *Entry) Leave() time.Duration {
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -248,7 +248,7 @@
 }
 
 // logRequest logs an admission, a refusal, a response or an interruption, and names the request, its client account, its route and its
-// priority.
+// priority, and while the VM stops, since when.
 func (t *requestTask) logRequest(event string, keysAndValues ...any) {
 	fields := make([]any, 0, 8+len(keysAndValues))
 	fields = append(fields, "request", t.request.ID, "account", t.request.Account, "route", t.request.Route.Name, "priority", t.request.Priority)
