Admissions of other VMs' requests end with the VM that gave them

Cause: the acceptor of links waits for running calls, and an admission is a call that lasts as long as the request of the other VM. TestStoppedVMEndsBeforeRequestsThatItAdmitted: the VM ended 8.17 s after its stop, killed in production at 8 s; now 7.40 s.

--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/contract/watcher"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/acceptor"
 	"github.com/fuchsiaspoke/fuchsiaspoke/link/dialer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/link/frame"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/controller"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/finder"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/pacer"
@@ -161,7 +162,7 @@
 		return nil, err
 	}
 	accepting := make(chan error, 1)
-	go func() { accepting <- e.newAcceptor().Serve(ctx, quicTransport) }()
+	go func() { accepting <- e.newAcceptor(ctx).Serve(ctx, quicTransport) }()
 	watching := e.watcher.Run(ctx)
 	refreshing := e.refresher.Run(ctx)
 	registering := e.registrar.Run(ctx)
@@ -211,9 +212,11 @@
 	return quicTransport, nil
 }
 
-func (e *Entry) newAcceptor() *acceptor.Acceptor {
+// newAcceptor returns the acceptor of the links from other VMs. The admissions that it serves end with the context: they last as long as the
+// requests of those VMs.
+func (e *Entry) newAcceptor(ctx context.Context) *acceptor.Acceptor {
 	a := &acceptor.Acceptor{TLS: e.tls, IdleTimeout: linkIdleTimeout}
-	a.Handle(requester.MethodRequest, e.requester.Serve)
+	a.Handle(requester.MethodRequest, untilDone(ctx, e.requester.Serve))
 	a.Handle(requester.MethodProgress, e.requester.ServeProgress)
 	a.Handle(methodPublished, e.servePublished)
 	a.Handle(delegator.MethodServe, e.delegator.Handle)
@@ -224,6 +227,18 @@
 	return a
 }
 
+// untilDone returns a handler of calls whose context ends with ctx.
+func untilDone(
+	ctx context.Context, handle func(ctx context.Context, peer string, request frame.Frame, send func(any) error) error,
+) func(context.Context, string, frame.Frame, func(any) error) error {
+	return func(call context.Context, peer string, request frame.Frame, send func(any) error) error {
+		call, cancel := context.WithCancel(call)
+		defer cancel()
+		defer context.AfterFunc(ctx, cancel)()
+		return handle(call, peer, request, send)
+	}
+}
+
 // ObserveNotice records what a replica said of itself in the response to an order or a report call.
 func (e *Entry) ObserveNotice(r fuchsiaspoke.Replica, n fuchsiaspoke.ReplicaNotice) {
 	e.permitter.Observe(r, n)
