--- a/cmd/fuchsiaspoke/entry.go
+++ b/cmd/fuchsiaspoke/entry.go
@@ -30,6 +30,8 @@
 }
 
 func (e *entryCommand) run(ctx context.Context) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := settings.Read(e.settingsPath)
 	if err != nil {
 		return usageError{err}
@@ -46,8 +48,6 @@
 			fmt.Fprintln(os.Stderr, "fuchsiaspoke: write log: "+err.Error())
 		}
 	}()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	s := &server.Server{Settings: cfg, Path: e.settingsPath, Version: version, Log: log.Log, Reload: reload}
 	return s.Run(ctx)
 }
