A VM that stops refuses requests that would probably be cut

The promise excuses what a stop cuts if it was sent early; callers lose it all the same. A request that comes while the VM stops is refused at once, as not run, where nine of ten requests of its route take longer than the VM goes on (the last 32 that it completed), so that another VM completes it. Weighed: the route's timeout as the limit from SIGTERM on, which refuses all streams for three seconds.

--- a/vm/drainer/drainer.go
+++ b/vm/drainer/drainer.go
@@ -68,10 +68,11 @@
 	return max(time.Since(d.began), 1)
 }
 
-// Takes reports whether a new request is still accepted that may last for the time longest.
-func (d *Drainer) Takes(longest time.Duration) bool {
+// Takes reports whether a new request is still accepted that may last for the time longest, and mostly ends within the time usual; 0 is not
+// known. It is refused early if it would probably be cut, as another VM can complete it.
+func (d *Drainer) Takes(longest, usual time.Duration) bool {
 	since := d.Since()
-	return since == 0 || since < d.phases.Accepts || since < d.phases.Waits && d.Outlasts(longest)
+	return since == 0 || since < d.phases.Waits && d.Outlasts(longest) || since < d.phases.Accepts && d.Outlasts(usual)
 }
 
 // Outlasts reports whether the VM goes on for as long as a request may last that begins now.
--- a/vm/drainer/drainer_test.go
+++ b/vm/drainer/drainer_test.go
@@ -19,16 +19,20 @@
 		runs, stopRuns := d.WithRuns(t.Context())
 		defer stopRuns()
 		time.Sleep(time.Minute)
-		if d.Draining() || !d.Takes(time.Hour) || waits.Err() != nil || d.WaitLeft(time.Hour) != time.Hour {
+		if d.Draining() || !d.Takes(time.Hour, time.Hour) || waits.Err() != nil || d.WaitLeft(time.Hour) != time.Hour {
 			t.Fatal("a VM that does not stop ends a phase")
 		}
 		d.Begin(fuchsiaspoke.StopPhases{Accepts: 3 * time.Second, Waits: 4 * time.Second, Runs: 7 * time.Second})
-		time.Sleep(3500 * time.Millisecond)
-		if d.Takes(4*time.Second) || !d.Takes(3*time.Second) || waits.Err() != nil || d.WaitLeft(time.Hour) != 500*time.Millisecond {
+		time.Sleep(time.Second)
+		if !d.Takes(time.Hour, 0) || !d.Takes(time.Hour, 6*time.Second) || d.Takes(time.Hour, 6001*time.Millisecond) {
+			t.Error("in the first phase those requests alone are refused that mostly don't end in time")
+		}
+		time.Sleep(2500 * time.Millisecond)
+		if d.Takes(4*time.Second, 0) || !d.Takes(3*time.Second, 0) || waits.Err() != nil || d.WaitLeft(time.Hour) != 500*time.Millisecond {
 			t.Error("after the first phase those requests alone are refused that may not end in time")
 		}
 		time.Sleep(time.Second)
-		if d.Takes(time.Millisecond) || !errors.Is(context.Cause(waits), drainer.ErrDraining) || runs.Err() != nil {
+		if d.Takes(time.Millisecond, 0) || !errors.Is(context.Cause(waits), drainer.ErrDraining) || runs.Err() != nil {
 			t.Error("after the second phase nothing waits, and what runs goes on")
 		}
 		if left := d.RunLeft(time.Hour); left != 2500*time.Millisecond {
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -21,6 +21,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/drainer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/durationmeter"
 	"github.com/pkg/errors"
 )
 
@@ -142,6 +143,7 @@
 
 	loadFaults loadFaultLog
 	estimator  estimator.Estimator
+	durations  durationmeter.DurationMeter
 	hedger     hedger.Hedger
 }
 
@@ -160,20 +162,30 @@
 		Sender: s, request: req, message: m, out: out, sendDeadline: limit, callerCtx: ctx, waits: waits,
 		traits: fuchsiaspoke.Traits(req, m),
 	}
-	if !s.Drainer.Takes(limit - s.Clock()) {
+	began := s.Clock()
+	if !s.Drainer.Takes(limit-began, s.durations.Usual(req.Route.Name)) {
 		return t.refuseAsDraining("may last longer than it")
 	}
+	err := t.serve(waits, inner)
+	if err == nil {
+		s.durations.Record(req.Route.Name, s.Clock()-began)
+	}
+	return err
+}
+
+// serve forwards the request within the context of its runs; waits is that of what happens before a send.
+func (t *requestTask) serve(waits, runs context.Context) error {
 	if refusal := t.findOrigin(waits); refusal != nil {
 		return refusal
 	}
 	if refusal := t.admitTraits(); refusal != nil {
 		return refusal
 	}
-	s.RetryBudget.Add(t.request.Service)
-	if req.Demand.Model != "" && s.isEngineService(t.request.Service) {
-		return t.serveGeneration(inner)
+	t.RetryBudget.Add(t.request.Service)
+	if t.request.Demand.Model != "" && t.isEngineService(t.request.Service) {
+		return t.serveGeneration(runs)
 	}
-	return t.servePlain(inner)
+	return t.servePlain(runs)
 }
 
 func (s *Sender) isEngineService(name string) bool {
