Judge: an earlier stop excuses no later cut, and a stop's excuse holds beside all planned work

After a VM's first stop none of its cuts beside publications counted; a request that the last sixth of the grace period excuses was reported beside a SIGHUP or a publication. Both tests failed before (0 of 4 found; 2 reported).

--- a/invariant/judge/judge.go
+++ b/invariant/judge/judge.go
@@ -32,7 +32,8 @@
 	Apply time.Duration
 }
 
-// Lost returns the requests that ended without a complete response around planned work, although nothing excuses it.
+// Lost returns the requests that ended without a complete response around planned work, although nothing excuses it. It doesn't judge kept
+// connections that a VM closes at other times.
 func (j Judge) Lost(r fuchsiaspoke.RunRecord) []fuchsiaspoke.BrokenPromise {
 	var out []fuchsiaspoke.BrokenPromise
 	for _, q := range r.Requests {
@@ -42,6 +43,7 @@
 		switch {
 		case j.cutByStop(r, q):
 			out = append(out, fuchsiaspoke.BrokenPromise{Request: q, Reason: "no whole response around SIGTERM"})
+		case j.excusedByStop(r, q):
 		case j.cutByReload(r, q):
 			out = append(out, fuchsiaspoke.BrokenPromise{Request: q, Reason: "no whole response after SIGHUP"})
 		case j.cutByPublication(r, q) && j.cutsBesidePublications(r, q.VM):
@@ -70,10 +72,20 @@
 // cutByStop reports whether a cut request ended around a stop of its VM that doesn't excuse it.
 func (j Judge) cutByStop(r fuchsiaspoke.RunRecord, q fuchsiaspoke.ObservedRequest) bool {
 	return slices.ContainsFunc(r.Stops, func(s fuchsiaspoke.ObservedStop) bool {
-		return s.VM == q.VM && q.End >= s.Signal && q.End <= s.Signal+j.Grace+stopSlack && !j.outlastsGrace(s, q)
+		return j.isAroundStop(s, q) && !j.outlastsGrace(s, q)
 	})
 }
 
+// excusedByStop reports whether a request that a stop of its VM cut is excused, whatever other planned work was beside.
+func (j Judge) excusedByStop(r fuchsiaspoke.RunRecord, q fuchsiaspoke.ObservedRequest) bool {
+	return slices.ContainsFunc(r.Stops, func(s fuchsiaspoke.ObservedStop) bool { return j.isAroundStop(s, q) && j.outlastsGrace(s, q) })
+}
+
+// isAroundStop reports whether a request ended at a VM that was being stopped.
+func (j Judge) isAroundStop(s fuchsiaspoke.ObservedStop, q fuchsiaspoke.ObservedRequest) bool {
+	return s.VM == q.VM && q.End >= s.Signal && q.End <= s.Signal+j.Grace+stopSlack
+}
+
 // outlastsGrace reports whether a replica was still at work near the end of the grace period on a request that was sent early enough.
 func (j Judge) outlastsGrace(s fuchsiaspoke.ObservedStop, q fuchsiaspoke.ObservedRequest) bool {
 	if q.LastByte > s.Signal+lateStopRequest {
@@ -113,7 +125,10 @@
 			continue
 		}
 		cut := 0
-		if j.isCut(r, q) && !slices.ContainsFunc(r.Stops, func(s fuchsiaspoke.ObservedStop) bool { return s.VM == vm && q.End >= s.Signal }) {
+		if j.isCut(r, q) {
+			if slices.ContainsFunc(r.Stops, func(s fuchsiaspoke.ObservedStop) bool { return j.isAroundStop(s, q) }) {
+				continue
+			}
 			cut = 1
 		}
 		if j.isBesidePublication(r, q.End) {
--- a/invariant/judge/judge_test.go
+++ b/invariant/judge/judge_test.go
@@ -133,3 +133,52 @@
 		t.Errorf("%d lost, want none after seven tenths of their time", len(lost))
 	}
 }
+
+func wholeRequest(at time.Duration) fuchsiaspoke.ObservedRequest {
+	q := cutRequest(at, at+second)
+	q.Whole = true
+	return q
+}
+
+// A VM was stopped and started again long before a publication.
+func TestEarlierStopDoesNotExcuseCutsBesideLaterPublication(t *testing.T) {
+	record := fuchsiaspoke.RunRecord{
+		Publications: []fuchsiaspoke.ObservedPublication{{Sent: 100 * second, Acknowledged: 101 * second}},
+		Stops:        []fuchsiaspoke.ObservedStop{{VM: "a", Signal: 10 * second}},
+	}
+	for range 50 {
+		record.Requests = append(record.Requests, wholeRequest(50*second), wholeRequest(100*second))
+	}
+	for range 4 {
+		record.Requests = append(record.Requests, cutRequest(101*second, 102*second))
+	}
+	if lost := newJudge().Lost(record); len(lost) != 4 {
+		t.Errorf("%d lost, want the four beside the publication", len(lost))
+	}
+}
+
+// The page excuses a request at which a replica was at work in the last sixth of the grace period, whatever planned work was beside.
+func TestRequestThatOutlastsGraceIsExcusedBesideOtherPlannedWork(t *testing.T) {
+	cut := cutRequest(11*second, 17400*ms)
+	stop := []fuchsiaspoke.ObservedStop{{VM: "a", Signal: 10 * second}}
+	t.Run("reload", func(t *testing.T) {
+		if lost := newJudge().Lost(fuchsiaspoke.RunRecord{
+			Requests: []fuchsiaspoke.ObservedRequest{cut}, Stops: stop,
+			Reloads: []fuchsiaspoke.ObservedReload{{VM: "a", Signal: 9500 * ms}},
+		}); len(lost) > 0 {
+			t.Errorf("lost %+v", lost)
+		}
+	})
+	t.Run("publication", func(t *testing.T) {
+		cutBefore := cutRequest(8*second, 9*second)
+		record := fuchsiaspoke.RunRecord{
+			Requests: []fuchsiaspoke.ObservedRequest{cut, cutBefore, wholeRequest(2 * second)}, Stops: stop,
+			Publications: []fuchsiaspoke.ObservedPublication{{Sent: 8 * second, Acknowledged: 15 * second}},
+		}
+		for _, b := range newJudge().Lost(record) {
+			if b.Request.End == cut.End {
+				t.Errorf("lost %+v", b)
+			}
+		}
+	})
+}
