--- a/link/acceptor/acceptor.go
+++ b/link/acceptor/acceptor.go
@@ -30,6 +30,8 @@
 	requestRejectedCode = quic.StreamErrorCode(2)
 	// noErrorCode is the QUIC application error code of connections that the acceptor closes.
 	noErrorCode = quic.ApplicationErrorCode(0)
+	// closeDelay is the time after the end of the last call in which its response is sent: closing a connection discards what waits to be sent.
+	closeDelay = 50 * time.Millisecond
 )
 
 // Acceptor dispatches calls from authenticated VMs to the handlers of their methods.
@@ -88,7 +90,12 @@
 		_ = conn.CloseWithError(noErrorCode, "unknown peer")
 		return
 	}
-	defer func() { _ = conn.CloseWithError(noErrorCode, "closed") }()
+	defer func() {
+		if ctx.Err() != nil && conn.Context().Err() == nil {
+			time.Sleep(closeDelay)
+		}
+		_ = conn.CloseWithError(noErrorCode, "closed")
+	}()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for {
