A VM that stops and reaches no replica delegates no request that its end would cut

TestStoppingVMDelegatesNoRequestThatItsEndCuts failed before: a request of 4 s was passed on with 3 s left.

--- a/vm/delegator/delegator.go
+++ b/vm/delegator/delegator.go
@@ -116,6 +116,9 @@
 
 // delegate passes the request to another VM, or to the next one as long as none has received it.
 func (d *Delegator) delegate(ctx context.Context, req fuchsiaspoke.AdmittedRequest, m fuchsiaspoke.Message, out ResponseWriter) error {
+	if longest := req.Deadline - d.Clock(); !d.Drainer.Takes(longest, 0) {
+		return draining("this VM is stopping, and the request may last longer")
+	}
 	for _, vm := range d.choose(req.Regions) {
 		if d.Clock() > req.Deadline-responseMargin {
 			break
@@ -172,6 +175,13 @@
 	return errors.As(err, &refusal) && refusal.Code == fuchsiaspoke.CodeReplicasUnreachable
 }
 
+// draining returns the refusal of a request that a VM can't serve or pass on before it ends.
+func draining(reason string) *fuchsiaspoke.Refusal {
+	return &fuchsiaspoke.Refusal{
+		Code: fuchsiaspoke.CodeDraining, Message: reason, Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable,
+	}
+}
+
 // isDraining reports whether a VM has refused a request as it stops.
 func isDraining(err error) bool {
 	var refusal *fuchsiaspoke.Refusal
@@ -309,10 +319,7 @@
 		}
 	}
 	if longest := delegation.ReceivedAt(d.Clock()).Deadline - d.Clock(); !d.Drainer.Outlasts(longest) {
-		return &fuchsiaspoke.Refusal{
-			Code: fuchsiaspoke.CodeDraining, Message: "the VM to which the request was passed is stopping, and it may last longer", Run: fuchsiaspoke.NotRun,
-			Status: http.StatusServiceUnavailable,
-		}
+		return draining("the VM to which the request was passed is stopping, and it may last longer")
 	}
 	if d.Partitioned() {
 		return unreachable("the VM to which the request was passed reaches no replica either").WithRetryAfter(minUnreachableRetryAfter)
--- a/vm/delegator/delegator_test.go
+++ b/vm/delegator/delegator_test.go
@@ -265,3 +265,21 @@
 		})
 	}
 }
+
+// A VM that stops and reaches no replica passes requests on that its own end cuts.
+func TestStoppingVMDelegatesNoRequestThatItsEndCuts(t *testing.T) {
+	var stopping drainer.Drainer
+	stopping.Begin(fuchsiaspoke.StopPhases{Accepts: 1, Waits: 2, Runs: 3 * time.Second, End: 4 * time.Second})
+	time.Sleep(time.Millisecond)
+	links := &fakeLinks{serve: func(_ fuchsiaspoke.VM, d fuchsiaspoke.Delegation, send func(any) error) error {
+		t.Logf("passed on with %v left", d.TimeLeft)
+		return send(fuchsiaspoke.DelegatedPart{Head: &fuchsiaspoke.DelegatedHead{Status: 200, Length: -1}})
+	}}
+	d := newDelegator(links, peerIn("a", "peer"))
+	d.Drainer = &stopping
+	err := d.Serve(t.Context(), request(), fuchsiaspoke.Message{}, &recordedResponse{})
+	var refusal *fuchsiaspoke.Refusal
+	if len(links.asked) > 0 || !errors.As(err, &refusal) || refusal.Code != fuchsiaspoke.CodeDraining || refusal.Run != fuchsiaspoke.NotRun {
+		t.Errorf("error %v, asked %v, want a refusal: the request has 4 s, the VM 3 s", err, links.asked)
+	}
+}
