A stream that goes on at another engine may wait for as long as the VM that stops lets it run

What callers saw: a stream whose engine broke off or fell silent late in a planned stop was cut with up to 4.4 s left. Cause: the engine's owner was told the end of the waits of new requests, and refused whatever it predicted a wait for.

--- a/vm/sender/admission.go
+++ b/vm/sender/admission.go
@@ -20,7 +20,7 @@
 func (t *requestTask) acquireOrWait(ctx context.Context, relay *streamRelay) (*requester.Admission, fuchsiaspoke.Replica, error) {
 	waitUntil := t.Clock() + maxResumeWait
 	if relay.headSent.Load() {
-		t.waits = ctx
+		t.waits, t.goesOn = ctx, true
 	}
 	for {
 		admission, replica, refusal := t.acquireAdmission(ctx, relay.position.Load())
@@ -289,6 +289,6 @@
 	}
 	return fuchsiaspoke.AdmissionRequest{
 		ID: t.request.ID, Account: account, Engine: c.Replica.ID, Demand: t.request.Demand, Priority: t.request.Priority,
-		DueIn: max(t.request.Due-now, 0), DeadlineIn: t.Drainer.WaitLeft(max(t.sendDeadline-now, 0)), MaxWait: maxWait,
+		DueIn: max(t.request.Due-now, 0), DeadlineIn: t.waitLeft(), MaxWait: maxWait,
 	}
 }
--- a/vm/sender/takeover.go
+++ b/vm/sender/takeover.go
@@ -29,7 +29,7 @@
 	if !r.mayGoOn(t.request.Route) || !r.headSent.Load() && t.mayCrashNext() || !t.takeRetry(false) {
 		return nil
 	}
-	t.waits = ctx
+	t.waits, t.goesOn = ctx, true
 	admission, replica, refusal := t.acquireAdmission(ctx, position)
 	if refusal != nil {
 		t.RetryBudget.Return(t.request.Service)
--- a/vm/sender/task.go
+++ b/vm/sender/task.go
@@ -29,6 +29,8 @@
 	callerCtx    context.Context
 	// waits is the context of what happens before a send. It ends earlier than that of the request if the VM stops.
 	waits context.Context
+	// goesOn means that the request was sent before and goes on at another engine, so that it may wait for as long as it may run.
+	goesOn bool
 	// traits are what the request has in common with others, the last of them all that it is.
 	traits        []fuchsiaspoke.Trait
 	triedReplicas map[string]bool
@@ -48,6 +50,15 @@
 	trial bool
 }
 
+// waitLeft returns how much longer the request may wait to be sent.
+func (t *requestTask) waitLeft() time.Duration {
+	left := max(t.sendDeadline-t.Clock(), 0)
+	if t.goesOn {
+		return t.Drainer.RunLeft(left)
+	}
+	return t.Drainer.WaitLeft(left)
+}
+
 // retryable reports whether the request may be sent again after a replica may have run it.
 func (t *requestTask) retryable() bool {
 	return t.request.Route.Idempotent || t.request.Route.Streaming && t.request.Route.Resumable
