A stream that has begun goes on to its deadline

The time that is reserved for writing a final response, 40 ms, was taken from streams that have begun too; around planned work nothing excuses a cut before the deadline.

--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -31,7 +31,7 @@
 // serveGeneration serves a request for a model: it obtains an admission to an engine and relays the stream, and repeats both at
 // another engine where a failed attempt may be retried.
 func (t *requestTask) serveGeneration(ctx context.Context) error {
-	relay := newStreamRelay(t.out, t.resumed, t.request.Demand, t.recordOrigin)
+	relay := newStreamRelay(t.out, t.resumed, t.request.Demand, t.recordOrigin, t.useMargin)
 	var a *attempt
 	for admissions := 0; ; {
 		if a == nil {
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -43,7 +43,9 @@
 	softwareVersion string
 	relayedAny      bool
 	// onBegin is called with the software version before the first event is sent.
-	onBegin  func(softwareVersion string)
+	onBegin func(softwareVersion string)
+	// onHead is called before the head is sent.
+	onHead   func()
 	splitter eventsplitter.Splitter
 	order    eventOrder
 	// maxBytes limits the stream of each attempt.
@@ -67,9 +69,9 @@
 // newStreamRelay returns the relay of the stream that a demand allows, which the caller resumes at a position, or which begins where that
 // is nil.
 func newStreamRelay(
-	out responseWriter, resumed *streamPosition, d fuchsiaspoke.Demand, onBegin func(softwareVersion string),
+	out responseWriter, resumed *streamPosition, d fuchsiaspoke.Demand, onBegin func(softwareVersion string), onHead func(),
 ) *streamRelay {
-	r := &streamRelay{out: out, onBegin: onBegin, maxBytes: maxStreamBytes(d), order: eventOrder{max: maxEvents(d)}}
+	r := &streamRelay{out: out, onBegin: onBegin, onHead: onHead, maxBytes: maxStreamBytes(d), order: eventOrder{max: maxEvents(d)}}
 	r.position.Store(resumed)
 	return r
 }
@@ -138,6 +140,7 @@
 	if r.headSent.Swap(true) {
 		return
 	}
+	r.onHead()
 	r.out.Head(http.StatusOK, response.Header, -1)
 }
 
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -148,18 +148,20 @@
 }
 
 // Serve forwards one request and writes the response to out. It has until responseMargin before the request's deadline or the end
-// of the route's timeout, whichever is earlier. On failure it returns a *fuchsiaspoke.Refusal if nothing was written to the
+// of the route's timeout, whichever is earlier, and a stream that has begun until then. On failure it returns a *fuchsiaspoke.Refusal if nothing was written to the
 // caller, or else ErrResponseInterrupted or ErrCallerDisconnected.
 func (s *Sender) Serve(ctx context.Context, req fuchsiaspoke.AdmittedRequest, m fuchsiaspoke.Message, out responseWriter) error {
 	limit := min(req.Deadline, req.Arrived+req.Route.Timeout) - responseMargin
 	running, stopRunning := s.Drainer.WithRuns(ctx)
 	defer stopRunning()
-	inner, cancel := context.WithTimeoutCause(running, max(limit-s.Clock(), 0), errRequestTimeout)
-	defer cancel()
+	inner, cancel := context.WithCancelCause(running)
+	defer cancel(context.Canceled)
+	expires := time.AfterFunc(max(limit-s.Clock(), 0), func() { cancel(errRequestTimeout) })
+	defer expires.Stop()
 	waits, stopWaits := s.Drainer.WithWaits(inner)
 	defer stopWaits()
 	t := &requestTask{
-		Sender: s, request: req, message: m, out: out, sendDeadline: limit, callerCtx: ctx, waits: waits,
+		Sender: s, request: req, message: m, out: out, sendDeadline: limit, callerCtx: ctx, waits: waits, expires: expires,
 		traits: fuchsiaspoke.Traits(req, m),
 	}
 	began := s.Clock()
--- a/vm/sender/task.go
+++ b/vm/sender/task.go
@@ -26,7 +26,9 @@
 	message      fuchsiaspoke.Message
 	out          responseWriter
 	sendDeadline time.Duration
-	callerCtx    context.Context
+	// expires ends the request at sendDeadline, or later once its stream has begun.
+	expires   *time.Timer
+	callerCtx context.Context
 	// waits is the context of what happens before a send. It ends earlier than that of the request if the VM stops.
 	waits context.Context
 	// goesOn means that the request was sent before and goes on at another engine, so that it may wait for as long as it may run.
@@ -59,6 +61,13 @@
 	return t.Drainer.WaitLeft(left)
 }
 
+// useMargin gives a stream that has begun the time that was reserved for a final response.
+func (t *requestTask) useMargin() {
+	if t.expires.Stop() {
+		t.expires.Reset(max(t.sendDeadline+responseMargin-t.Clock(), 0))
+	}
+}
+
 // retryable reports whether the request may be sent again after a replica may have run it.
 func (t *requestTask) retryable() bool {
 	return t.request.Route.Idempotent || t.request.Route.Streaming && t.request.Route.Resumable
