Requests whose header arrives as the own API's server stops are answered

The caller connected and sent a request, and gets EOF. Listener.Serve called Shutdown at once. Ruled out: the closed socket. These connections were accepted by the process, and the test's got EOF, no reset. Change: Serve first ends keep-alive, which lets each connection end after its response, and waits until no connection is open, at most for the time that a header may take; this counts toward shutdownTimeout. Shutdown then waits for longer responses as before. Idle connections are closed as before; a request may cross that.

--- a/vm/listener/listener.go
+++ b/vm/listener/listener.go
@@ -65,8 +65,10 @@
 
 // Serve serves callers until the context is cancelled, then waits up to shutdownTimeout for the running requests.
 func (l *Listener) Serve(ctx context.Context, socket net.Listener, shutdownTimeout time.Duration) error {
+	var open connections
 	server := &http.Server{
 		Handler:           l.Handler(),
+		ConnState:         open.observe,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
@@ -81,6 +83,9 @@
 	}
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
+	// Shutdown drops a request whose header is still being read; without keep-alive each connection ends after its response.
+	server.SetKeepAlivesEnabled(false)
+	open.awaitEnd(min(headerTimeout, shutdownTimeout))
 	if err := server.Shutdown(shutdownCtx); err != nil {
 		_ = server.Close()
 		return errors.Wrapf(err, "shut down listener for callers on %s", socket.Addr())
