The own API answers the connections that wait as its server stops

Cause: Shutdown closed the socket of `fuchsiaspoke serve` while the kernel held connections that the process had not accepted: they were reset, with the requests on them. Change: the callers' socket is a lingerer.Lingerer, and Serve has it finish before Shutdown: it accepts until nobody connected for 0.3 s, at most for 2 s, then what the kernel still holds.

--- a/vm/lingerer/lingerer.go
+++ b/vm/lingerer/lingerer.go
@@ -15,6 +15,12 @@
 // listener were closed.
 const drainInterval = 2 * time.Millisecond
 
+const (
+	// quietTime is for how long no caller may have connected before Finish closes the listener, and quietPollInterval how often that is checked.
+	quietTime         = 300 * time.Millisecond
+	quietPollInterval = 20 * time.Millisecond
+)
+
 // Lingerer is a listener that accepts what has come before it closes. It is created with New.
 type Lingerer struct {
 	*net.TCPListener
@@ -111,3 +117,25 @@
 	}
 	return l.drained, errors.Wrap(err, "limit handshakes")
 }
+
+// Finish accepts callers until none has connected for quietTime, or for the time most, and then those that have connected by that moment. It
+// needs somebody who calls Accept. After an error the latter may be cut off.
+func (l *Lingerer) Finish(most time.Duration) error {
+	l.awaitQuiet(most)
+	drained, err := l.Drain()
+	select {
+	case <-drained:
+	case <-time.After(quietTime):
+	}
+	return err
+}
+
+// awaitQuiet returns when no caller has connected for quietTime, or after the time most.
+func (l *Lingerer) awaitQuiet(most time.Duration) {
+	began := time.Now()
+	t := time.NewTicker(quietPollInterval)
+	defer t.Stop()
+	for l.SinceAccept() < quietTime && time.Since(began) < most {
+		<-t.C
+	}
+}
--- a/vm/listener/listener.go
+++ b/vm/listener/listener.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/aborter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/lingerer"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -32,6 +33,8 @@
 	idleTimeout = 60 * time.Second
 	// writeTimeout bounds one write of a streamed response, so that a caller that stops reading does not hold its request.
 	writeTimeout = 10 * time.Second
+	// maxLingerTime bounds the time for which callers that still connect are accepted when the server stops.
+	maxLingerTime = 2 * time.Second
 )
 
 type admitter interface {
@@ -63,17 +66,11 @@
 	ObserveRefusal func(*fuchsiaspoke.Refusal)
 }
 
-// Serve serves callers until the context is cancelled, then waits up to shutdownTimeout for the running requests.
-func (l *Listener) Serve(ctx context.Context, socket net.Listener, shutdownTimeout time.Duration) error {
+// Serve serves callers until the context is cancelled and none connects any more, then waits up to shutdownTimeout for the running
+// requests.
+func (l *Listener) Serve(ctx context.Context, socket *lingerer.Lingerer, shutdownTimeout time.Duration) error {
 	var open connections
-	server := &http.Server{
-		Handler:           l.Handler(),
-		ConnState:         open.observe,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	server := l.newServer(&open)
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(socket) }()
 	select {
@@ -81,18 +78,34 @@
 		return errors.Wrapf(err, "serve callers on %s", socket.Addr())
 	case <-ctx.Done():
 	}
+	// Shutdown closes the socket, and the kernel would reset the connections that wait to be accepted.
+	if err := socket.Finish(maxLingerTime); err != nil {
+		klog.ErrorS(err, "Callers that still connect may be cut off", "address", socket.Addr().String())
+	}
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
 	// Shutdown drops a request whose header is still being read; without keep-alive each connection ends after its response.
 	server.SetKeepAlivesEnabled(false)
 	open.awaitEnd(min(headerTimeout, shutdownTimeout))
-	if err := server.Shutdown(shutdownCtx); err != nil {
+	// The socket is closed already: net.ErrClosed says nothing about the requests.
+	if err := server.Shutdown(shutdownCtx); err != nil && !errors.Is(err, net.ErrClosed) {
 		_ = server.Close()
 		return errors.Wrapf(err, "shut down listener for callers on %s", socket.Addr())
 	}
 	return nil
 }
 
+func (l *Listener) newServer(open *connections) *http.Server {
+	return &http.Server{
+		Handler:           l.Handler(),
+		ConnState:         open.observe,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
 // Handler returns the HTTP handler without a server, for programs that embed the system.
 func (l *Listener) Handler() http.Handler {
 	e := echo.New()
--- a/vm/runner/process.go
+++ b/vm/runner/process.go
@@ -20,6 +20,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/manager"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/admitter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/forwarder"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/lingerer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/listener"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/reporter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/retrylimiter"
@@ -85,7 +86,7 @@
 	// knownPeers holds the ids of the VMs that were live at the last call of observePeers. Only the goroutine of
 	// rebalanceLeases accesses it.
 	knownPeers     map[string]bool
-	callerListener net.Listener
+	callerListener *lingerer.Lingerer
 	adminListener  net.Listener
 	linkTransport  *quic.Transport
 	stopListener   context.CancelFunc
@@ -130,7 +131,7 @@
 		return errors.Wrapf(err, "listen for other VMs on UDP %s", address)
 	}
 	p.linkTransport = &quic.Transport{Conn: conn}
-	if p.callerListener, err = listenTCP(p.settings.VM.CallerAddress); err != nil {
+	if p.callerListener, err = lingerer.New(p.settings.VM.CallerAddress); err != nil {
 		return errors.Wrap(err, "open listener for callers")
 	}
 	p.adminListener, err = listenTCP(p.settings.AdminAddress)
@@ -143,7 +144,7 @@
 		p.linkTransport.Conn.Close()
 	}
 	if p.callerListener != nil {
-		p.callerListener.Close()
+		_ = p.callerListener.Close()
 	}
 	if p.adminListener != nil {
 		p.adminListener.Close()
