Requests whose header arrives as a stopped VM closes its listener are answered

What callers saw: a request that began to arrive as the VM accepted its last callers ended without a response. Cause: http.Server.Shutdown drops a connection whose first header is still being read (net/http, conn.serve after readRequest).

--- a/vm/listener/listener.go
+++ b/vm/listener/listener.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/aborter"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/headerwaiter"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/lingerer"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -69,8 +70,8 @@
 // Serve serves callers until the context is cancelled and none connects any more, then waits up to shutdownTimeout for the running
 // requests.
 func (l *Listener) Serve(ctx context.Context, socket *lingerer.Lingerer, shutdownTimeout time.Duration) error {
-	var open connections
-	server := l.newServer(&open)
+	var headers headerwaiter.HeaderWaiter
+	server := l.newServer(&headers)
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(socket) }()
 	select {
@@ -84,9 +85,7 @@
 	}
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
-	// Shutdown drops a request whose header is still being read; without keep-alive each connection ends after its response.
-	server.SetKeepAlivesEnabled(false)
-	open.awaitEnd(min(headerTimeout, shutdownTimeout))
+	headers.Await(min(headerTimeout, shutdownTimeout))
 	// The socket is closed already: net.ErrClosed says nothing about the requests.
 	if err := server.Shutdown(shutdownCtx); err != nil && !errors.Is(err, net.ErrClosed) {
 		_ = server.Close()
@@ -95,10 +94,10 @@
 	return nil
 }
 
-func (l *Listener) newServer(open *connections) *http.Server {
+func (l *Listener) newServer(headers *headerwaiter.HeaderWaiter) *http.Server {
 	return &http.Server{
 		Handler:           l.Handler(),
-		ConnState:         open.observe,
+		ConnState:         headers.Observe,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
