--- a/link/acceptor/end_test.go
+++ b/link/acceptor/end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -68,7 +69,9 @@
 		<-served
 		time.Sleep(endDelay)
 		end()
-		<-done
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
 		_ = serving.Close()
 	}()
 	callCtx, stop := context.WithTimeout(t.Context(), 5*time.Second)
--- a/vm/sender/draining_test.go
+++ b/vm/sender/draining_test.go
@@ -78,7 +78,7 @@
 			}
 			f := newTakeover(t, 2, late, soundEngine)
 			f.Drainer = &stopping
-			f.Sender.Finder = ownedEngines{f}
+			f.Finder = ownedEngines{f}
 			f.Requester = &requester.Requester{Peers: unknownPeers{}, Clock: f.Clock, Dialer: owner{t}}
 			f.expectWhole(t, &streamWriter{})
 		})
