--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -165,7 +165,7 @@
 		traits: fuchsiaspoke.Traits(req, m),
 	}
 	began := s.Clock()
-	if !s.Drainer.Takes(limit-began, s.durations.Usual(req.Route.Name)) {
+	if s.Drainer.Draining() && !s.Drainer.Takes(limit-began, s.durations.Usual(req.Route.Name)) {
 		return t.refuseAsDraining("may last longer than it")
 	}
 	err := t.serve(waits, inner)
