--- a/link/acceptor/end_test.go
+++ b/link/acceptor/end_test.go
@@ -57,6 +57,7 @@
 		}
 		return nil
 	})
+	a.Handle("connect", func(context.Context, string, frame.Frame, func(any) error) error { return nil })
 	done := make(chan error, 1)
 	go func() { done <- a.Serve(ctx, serving) }()
 	calling, ring := listen(t)
@@ -74,8 +75,12 @@
 		}
 		_ = serving.Close()
 	}()
-	callCtx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+	callCtx, stop := context.WithTimeout(t.Context(), 20*time.Second)
 	defer stop()
 	vm := fuchsiaspoke.VM{ID: "vm_1", LinkAddress: serving.Conn.LocalAddr().String()}
+	// The first link to a VM that is just starting may take several tries on a busy machine.
+	for callCtx.Err() == nil && d.Call(callCtx, vm, "connect", nil, func(cbor.RawMessage) error { return nil }) != nil {
+		time.Sleep(10 * time.Millisecond)
+	}
 	return d.Call(callCtx, vm, "serve", nil, func(cbor.RawMessage) error { return nil })
 }
