--- a/vm/delegator/delegator.go
+++ b/vm/delegator/delegator.go
@@ -318,7 +318,7 @@
 			Code: fuchsiaspoke.CodeInvalidRequest, Message: err.Error(), Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable,
 		}
 	}
-	if longest := delegation.ReceivedAt(d.Clock()).Deadline - d.Clock(); !d.Drainer.Outlasts(longest) {
+	if !d.Drainer.Outlasts(delegation.TimeLeft) {
 		return draining("the VM to which the request was passed is stopping, and it may last longer")
 	}
 	if d.Partitioned() {
--- a/vm/drainer/drainer.go
+++ b/vm/drainer/drainer.go
@@ -80,26 +80,25 @@
 
 // Left returns how long the process goes on, at most the time most.
 func (d *Drainer) Left(most time.Duration) time.Duration {
-	if !d.Draining() {
-		return most
-	}
-	return min(most, max(d.phases.End-time.Since(d.began), 0))
+	return d.until(most, func(p fuchsiaspoke.StopPhases) time.Duration { return p.End })
 }
 
 // WaitLeft returns how much longer a request may wait to be sent, at most the time most.
 func (d *Drainer) WaitLeft(most time.Duration) time.Duration {
-	if !d.Draining() {
-		return most
-	}
-	return min(most, max(d.phases.Waits-time.Since(d.began), 0))
+	return d.until(most, func(p fuchsiaspoke.StopPhases) time.Duration { return p.Waits })
 }
 
 // RunLeft returns how much longer a request may run, at most the time most.
 func (d *Drainer) RunLeft(most time.Duration) time.Duration {
+	return d.until(most, func(p fuchsiaspoke.StopPhases) time.Duration { return p.Runs })
+}
+
+// until returns the time left of a phase that lasts until end, at most the time most.
+func (d *Drainer) until(most time.Duration, end func(fuchsiaspoke.StopPhases) time.Duration) time.Duration {
 	if !d.Draining() {
 		return most
 	}
-	return min(most, max(d.phases.Runs-time.Since(d.began), 0))
+	return min(most, max(end(d.phases)-time.Since(d.began), 0))
 }
 
 // WithWaits returns a context that ends with ErrDraining as its cause once requests may no longer wait to be sent.
