A stream that could outlast a VM that stops by its margin is refused

Callers of a VM that was stopped lost streams of which they had the first events: sent later than three seconds after SIGTERM, with a time limit that ends up to 40 ms after the end of what may run, they were taken and cut as runs end, 3 to 35 ms before their limit. Nothing excuses that, and such a request may not be repeated.

Cause: since a stream that has begun may use the 40 ms that are reserved for a final response, but whether the VM outlasts a request was still asked without them.

The unit test fails before (cut after 1.000 s, 29 ms before the deadline).

--- a/vm/sender/draining_test.go
+++ b/vm/sender/draining_test.go
@@ -84,3 +84,25 @@
 		})
 	}
 }
+
+// A stream that could last a little longer than a VM that stops was taken, and cut within the last 40 ms before its deadline.
+func TestStreamThatCouldOutlastStoppingVMByItsMarginIsRefused(t *testing.T) {
+	var stopping drainer.Drainer
+	stopping.Begin(fuchsiaspoke.StopPhases{Accepts: 1, Waits: 800 * time.Millisecond, Runs: time.Second, End: 1100 * time.Millisecond})
+	time.Sleep(time.Millisecond)
+	f := newTakeover(t, 1, hangingAfter(3))
+	f.route.Resumable = false
+	f.Drainer = &stopping
+	began := time.Now()
+	left := stopping.RunLeft(time.Hour) + 30*time.Millisecond
+	req := fuchsiaspoke.AdmittedRequest{
+		ID: "r", Service: "texts", Arrived: f.Clock(), Deadline: f.Clock() + left, Route: f.route,
+		Demand: fuchsiaspoke.Demand{Model: "m", PromptTokens: 100, OutputTokens: 10},
+	}
+	m := fuchsiaspoke.Message{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}}
+	err := f.Serve(t.Context(), req, m, &streamWriter{})
+	var refusal *fuchsiaspoke.Refusal
+	if !errors.As(err, &refusal) || refusal.Code != fuchsiaspoke.CodeDraining || refusal.Run != fuchsiaspoke.NotRun {
+		t.Errorf("%v after %v, %v before its deadline, want a refusal", err, time.Since(began), left-time.Since(began))
+	}
+}
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -147,9 +147,9 @@
 	hedger     hedger.Hedger
 }
 
-// Serve forwards one request and writes the response to out. It has until responseMargin before the request's deadline or the end
-// of the route's timeout, whichever is earlier, and a stream that has begun until then. On failure it returns a *fuchsiaspoke.Refusal if nothing was written to the
-// caller, or else ErrResponseInterrupted or ErrCallerDisconnected.
+// Serve forwards one request and writes the response to out. Its time limit is the request's deadline or the end of the route's timeout,
+// whichever is earlier. A stream that has begun may last until then, all else until responseMargin before it. On failure it returns a
+// *fuchsiaspoke.Refusal if nothing was written to the caller, or else ErrResponseInterrupted or ErrCallerDisconnected.
 func (s *Sender) Serve(ctx context.Context, req fuchsiaspoke.AdmittedRequest, m fuchsiaspoke.Message, out responseWriter) error {
 	limit := min(req.Deadline, req.Arrived+req.Route.Timeout) - responseMargin
 	running, stopRunning := s.Drainer.WithRuns(ctx)
@@ -165,7 +165,8 @@
 		traits: fuchsiaspoke.Traits(req, m),
 	}
 	began := s.Clock()
-	if s.Drainer.Draining() && !s.Drainer.Takes(limit-began, s.durations.Usual(req.Route.Name)) {
+	longest := limit + responseMargin - began
+	if s.Drainer.Draining() && !s.Drainer.Takes(longest, s.durations.Usual(req.Route.Name)) {
 		return t.refuseAsDraining("may last longer than it")
 	}
 	err := t.serve(waits, inner)
