--- a/invariant/judge/judge.go
+++ b/invariant/judge/judge.go
@@ -2,6 +2,7 @@
 package judge
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -61,7 +62,7 @@
 	if len(q.Runs) == 0 && q.End <= q.LastByte+j.LossSlack {
 		return false
 	}
-	if slices.ContainsFunc(q.Runs, func(run fuchsiaspoke.ObservedRun) bool { return run.BrokeOff }) {
+	if lastRun(q).BrokeOff {
 		return false
 	}
 	return !slices.ContainsFunc(r.Disruptions, func(d fuchsiaspoke.ObservedDisruption) bool {
@@ -69,6 +70,14 @@
 	})
 }
 
+// lastRun returns the run that ended last. A replica that broke off before it was replaced by another one excuses no cut of that one's response.
+func lastRun(q fuchsiaspoke.ObservedRequest) fuchsiaspoke.ObservedRun {
+	if len(q.Runs) == 0 {
+		return fuchsiaspoke.ObservedRun{}
+	}
+	return slices.MaxFunc(q.Runs, func(a, b fuchsiaspoke.ObservedRun) int { return cmp.Compare(a.End, b.End) })
+}
+
 // cutByStop reports whether a cut request ended around a stop of its VM that doesn't excuse it.
 func (j Judge) cutByStop(r fuchsiaspoke.RunRecord, q fuchsiaspoke.ObservedRequest) bool {
 	return slices.ContainsFunc(r.Stops, func(s fuchsiaspoke.ObservedStop) bool {
--- a/invariant/judge/judge_test.go
+++ b/invariant/judge/judge_test.go
@@ -49,6 +49,9 @@
 		{name: "caller left", request: with(cutRequest(13500*ms, 17*second), func(q *fuchsiaspoke.ObservedRequest) { q.CallerLeft = true })},
 		{name: "never sent whole", request: with(cutRequest(13500*ms, 17*second), func(q *fuchsiaspoke.ObservedRequest) { q.Unsent = true })},
 		{name: "replica broke off", request: with(cutRequest(13500*ms, 17*second), func(q *fuchsiaspoke.ObservedRequest) { q.Runs[0].BrokeOff = true })},
+		{name: "first replica broke off, second one cut", request: with(cutRequest(13500*ms, 17*second), func(q *fuchsiaspoke.ObservedRequest) {
+			q.Runs = append(q.Runs, fuchsiaspoke.ObservedRun{Replica: "y", Begin: 13501 * ms, End: 13600 * ms, BrokeOff: true})
+		}), lost: true},
 		{name: "time limit reached", request: with(cutRequest(13500*ms, 17*second), func(q *fuchsiaspoke.ObservedRequest) { q.TimeLimit = 3500 * ms })},
 		{name: "just before the time limit", request: with(cutRequest(13500*ms, 17*second), func(q *fuchsiaspoke.ObservedRequest) { q.TimeLimit = 3501 * ms }), lost: true},
 		{name: "not passed on, later than the slack", request: unsent, lost: true},
