--- a/vm/delegator/delegator.go
+++ b/vm/delegator/delegator.go
@@ -252,9 +252,16 @@
 	running, stopRunning := d.Drainer.WithRuns(ctx)
 	defer stopRunning()
 	req.Deadline = d.Clock() + d.Drainer.RunLeft(max(req.Deadline-d.Clock(), 0))
-	callCtx, cancel := context.WithTimeout(running, max(req.Deadline-responseMargin-d.Clock(), 0))
+	callCtx, cancel := context.WithCancel(running)
 	defer cancel()
-	r := relay{out: out}
+	expires := time.AfterFunc(max(req.Deadline-responseMargin-d.Clock(), 0), cancel)
+	defer expires.Stop()
+	r := relay{out: out, onBegin: func() {
+		// A response that has begun needs no time for a final one.
+		if expires.Stop() {
+			expires.Reset(max(req.Deadline-d.Clock(), 0))
+		}
+	}}
 	err := d.Dialer.Call(callCtx, vm, MethodServe, fuchsiaspoke.NewDelegation(req, m, d.Clock()), r.receive)
 	if err == nil || errors.Is(err, dialer.ErrNotSent) {
 		return err
@@ -285,6 +292,8 @@
 	out ResponseWriter
 	// begun means that the head was written, and writeFailed that the caller's connection has ended.
 	begun, writeFailed bool
+	// onBegin is called before the head is written.
+	onBegin func()
 }
 
 func (r *relay) receive(raw cbor.RawMessage) error {
@@ -297,6 +306,7 @@
 			return errors.New("the response has a second head")
 		}
 		r.begun = true
+		r.onBegin()
 		r.out.Head(part.Head.Status, part.Head.Header, part.Head.Length)
 	}
 	if len(part.Body) == 0 {
