Test of calls to a restarted VM: requests as large as those between VMs, and a process that is killed like one

Traced: QUIC answers no packet of 42 bytes or less with a stateless reset, and the test's ping has 34. It passed as long as frames of the handshake were still repeated in the same packet; since the acceptor waits 50 ms before it closes links, the process that the test kills went on to take packets for so long.

Requests between VMs are larger: the shortest method name with an empty body already gives 43 bytes, and each names an engine, a service or an account. Its killed process closes its socket at once, as the kernel does, and the case of a process that is suspended before it is killed has a test of its own. Limits are as before.

--- a/link/dialer/restart_test.go
+++ b/link/dialer/restart_test.go
@@ -21,9 +21,11 @@
 	restartCallTimeout = 250 * time.Millisecond
 	// restartLimit is the time after which a VM that restarted must be called again: it is ready by then.
 	restartLimit = time.Second
+	// restartRequestBytes is less than the body of any request between VMs has. QUIC answers no packet of 42 bytes or less with a reset.
+	restartRequestBytes = 16
 )
 
-// killableConn is a UDP socket of a process that can be killed: nothing is sent from then on.
+// killableConn is a UDP socket of a process that can be killed or suspended: nothing is sent from then on.
 type killableConn struct {
 	net.PacketConn
 	killed atomic.Bool
@@ -49,8 +51,8 @@
 	return key
 }
 
-// startProcess starts a process of vm_1 at the address, and returns a function that kills it.
-func startProcess(t *testing.T, fleetKey, address string) (fuchsiaspoke.VM, func()) {
+// startProcess starts a process of vm_1 at the address, and returns a function that kills it after it has been suspended for a while.
+func startProcess(t *testing.T, fleetKey, address string) (fuchsiaspoke.VM, func(suspended time.Duration)) {
 	t.Helper()
 	socket, err := net.ListenPacket("udp", address)
 	if err != nil {
@@ -62,22 +64,35 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- a.Serve(ctx, &quic.Transport{Conn: conn, StatelessResetKey: resetKey(t, fleetKey)}) }()
-	kill := func() {
+	kill := func(suspended time.Duration) {
 		if conn.killed.Swap(true) {
 			return
 		}
+		time.Sleep(suspended)
 		cancel()
+		// The kernel closes the socket of a killed process, whatever its goroutines wait for.
+		socket.Close()
 		if err := <-done; !errors.Is(err, context.Canceled) {
 			t.Error(err)
 		}
-		socket.Close()
 	}
-	t.Cleanup(kill)
+	t.Cleanup(func() { kill(0) })
 	return fuchsiaspoke.VM{ID: "vm_1", LinkAddress: socket.LocalAddr().String()}, kill
 }
 
 // The link to the process before is open for as long as its idle timeout, and calls on it get no response.
-func TestCallsAreAnsweredSoonAfterRestartOfPeer(t *testing.T) {
+func TestCallsAreAnsweredSoonAfterRestartOfPeer(t *testing.T) { expectAnswersAfterRestart(t, 0) }
+
+// A process that is suspended before it is killed takes what is sent to it meanwhile.
+func TestCallsAreAnsweredSoonAfterRestartOfSuspendedPeer(t *testing.T) {
+	for range 5 {
+		expectAnswersAfterRestart(t, 50*time.Millisecond)
+	}
+}
+
+// expectAnswersAfterRestart kills a process that was suspended for a while, and calls the next one.
+func expectAnswersAfterRestart(t *testing.T, suspended time.Duration) {
+	t.Helper()
 	key := strings.Repeat("ab", 32)
 	vm, kill := startProcess(t, key, "127.0.0.1:0")
 	d := newDialer(t, key)
@@ -85,12 +100,12 @@
 	if err := d.Call(t.Context(), vm, "ping", 1, nil); err != nil {
 		t.Fatal(err)
 	}
-	kill()
+	kill(suspended)
 	startProcess(t, key, vm.LinkAddress)
 	restarted := time.Now()
 	for {
 		ctx, cancel := context.WithTimeout(t.Context(), restartCallTimeout)
-		err := d.Call(ctx, vm, "ping", 1, nil)
+		err := d.Call(ctx, vm, "ping", make([]byte, restartRequestBytes), nil)
 		cancel()
 		if err == nil {
 			return
