Links of a VM that ends close once its responses are acknowledged

Change: the link is closed once it has sent nothing for two probe timeouts (its round trip as QUIC measures it), 50 ms at least: a link with anything unacknowledged repeats it or probes. At most until the time that the grace period leaves (StopPhases.Closes), 1 s for the own API. No message changes; a peer of an earlier build acknowledges as before.

--- a/link/acceptor/acceptor.go
+++ b/link/acceptor/acceptor.go
@@ -30,8 +30,6 @@
 	requestRejectedCode = quic.StreamErrorCode(2)
 	// noErrorCode is the QUIC application error code of connections that the acceptor closes.
 	noErrorCode = quic.ApplicationErrorCode(0)
-	// closeDelay is the time after the end of the last call in which its response is sent: closing a connection discards what waits to be sent.
-	closeDelay = 50 * time.Millisecond
 )
 
 // Acceptor dispatches calls from authenticated VMs to the handlers of their methods.
@@ -42,6 +40,8 @@
 	Clock clock
 	// IdleTimeout is how long a connection may receive nothing before it is closed; 0 is 2 s. The shorter one of both ends counts.
 	IdleTimeout time.Duration
+	// CloseTime returns, once Serve ends, how long connections may stay open until all responses are acknowledged; nil is 1 s.
+	CloseTime func() time.Duration
 
 	handlers map[string]handler
 }
@@ -63,8 +63,8 @@
 	a.handlers[method] = handle
 }
 
-// Serve accepts connections on the transport's socket until ctx is done or accepting fails, then waits for running calls. It returns
-// the context's error or the cause.
+// Serve accepts connections on the transport's socket until ctx is done or accepting fails, then waits for running calls and their
+// responses to arrive. It returns the context's error or the cause.
 func (a *Acceptor) Serve(ctx context.Context, transport *quic.Transport) error {
 	cfg := &quic.Config{MaxIdleTimeout: cmp.Or(a.IdleTimeout, defaultIdleTimeout), MaxIncomingStreams: maxStreams}
 	listener, err := transport.Listen(a.TLS, cfg)
@@ -92,7 +92,7 @@
 	}
 	defer func() {
 		if ctx.Err() != nil && conn.Context().Err() == nil {
-			time.Sleep(closeDelay)
+			awaitQuiet(conn, a.closeTime())
 		}
 		_ = conn.CloseWithError(noErrorCode, "closed")
 	}()
@@ -107,6 +107,13 @@
 	}
 }
 
+func (a *Acceptor) closeTime() time.Duration {
+	if a.CloseTime == nil {
+		return maxCloseDelay
+	}
+	return a.CloseTime()
+}
+
 // readRequest reads a request, which ends within maxRequestBytes and requestTimeout.
 func (a *Acceptor) readRequest(stream *quic.Stream) (frame.Frame, error) {
 	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
--- a/stop_phases.go
+++ b/stop_phases.go
@@ -11,8 +11,10 @@
 	// sixth could not have been completed.
 	maxEndMargin = 700 * time.Millisecond
 	endShare     = 8
-	// answerShare is the share of that time in which the last responses are written.
+	// answerShare is the share of that time in which the last responses are written, and closeShare the share before whose end they have
+	// arrived at other VMs.
 	answerShare = 7
+	closeShare  = 2
 )
 
 // StopPhases are the times from the beginning of a VM's stop after which it takes and does less.
@@ -25,6 +27,8 @@
 	Runs time.Duration
 	// End is when the process ends, whatever runs.
 	End time.Duration
+	// Closes is when links from other VMs are closed, whether or not the last responses to them are acknowledged.
+	Closes time.Duration
 }
 
 // NewStopPhases returns the phases of a VM whose process is killed after the grace period, and to which callers may come for the time known.
@@ -33,5 +37,6 @@
 	margin := min(maxEndMargin, grace/endShare)
 	return StopPhases{
 		Accepts: min(maxLateStart-signalDelay, waits), Waits: waits, Runs: grace - margin, End: grace - margin + margin/answerShare,
+		Closes: grace - margin/closeShare,
 	}
 }
--- a/stop_phases_test.go
+++ b/stop_phases_test.go
@@ -21,8 +21,8 @@
 			if p.Waits > known || p.Waits > grace/2 {
 				t.Errorf("callers are served for %v", p.Waits)
 			}
-			if p.Runs < grace-grace/6 || p.Runs >= p.End || p.End >= grace {
-				t.Errorf("requests run for %v, and the process ends after %v", p.Runs, p.End)
+			if p.Runs < grace-grace/6 || p.Runs >= p.End || p.End >= p.Closes || p.Closes >= grace {
+				t.Errorf("requests run for %v, the process ends after %v, and its links after %v", p.Runs, p.End, p.Closes)
 			}
 		})
 	}
--- a/vm/drainer/drainer.go
+++ b/vm/drainer/drainer.go
@@ -83,6 +83,11 @@
 	return d.until(most, func(p fuchsiaspoke.StopPhases) time.Duration { return p.End })
 }
 
+// CloseLeft returns how much longer links from other VMs may stay open, at most the time most.
+func (d *Drainer) CloseLeft(most time.Duration) time.Duration {
+	return d.until(most, func(p fuchsiaspoke.StopPhases) time.Duration { return p.Closes })
+}
+
 // WaitLeft returns how much longer a request may wait to be sent, at most the time most.
 func (d *Drainer) WaitLeft(most time.Duration) time.Duration {
 	return d.until(most, func(p fuchsiaspoke.StopPhases) time.Duration { return p.Waits })
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -54,6 +54,8 @@
 	// linkIdleTimeout is how long a link may receive nothing before it is closed. Links to VMs whose heartbeats stop are closed
 	// without waiting for it.
 	linkIdleTimeout = 20 * time.Second
+	// maxLinkCloseTime bounds how long links are kept, as the VM ends, for responses that are not acknowledged.
+	maxLinkCloseTime = 500 * time.Millisecond
 	// maxCallerAddresses is the largest number of addresses that callers accept.
 	maxCallerAddresses = 64
 )
@@ -215,7 +217,9 @@
 // newAcceptor returns the acceptor of the links from other VMs. The admissions that it serves end with the context: they last as long as the
 // requests of those VMs.
 func (e *Entry) newAcceptor(ctx context.Context) *acceptor.Acceptor {
-	a := &acceptor.Acceptor{TLS: e.tls, IdleTimeout: linkIdleTimeout}
+	a := &acceptor.Acceptor{
+		TLS: e.tls, IdleTimeout: linkIdleTimeout, CloseTime: func() time.Duration { return e.drainer.CloseLeft(maxLinkCloseTime) },
+	}
 	a.Handle(requester.MethodRequest, untilDone(ctx, e.requester.Serve))
 	a.Handle(requester.MethodProgress, e.requester.ServeProgress)
 	a.Handle(methodPublished, e.servePublished)
