--- a/vm/delegator/delegator.go
+++ b/vm/delegator/delegator.go
@@ -117,7 +117,8 @@
 // delegate passes the request to another VM, or to the next one as long as none has received it.
 func (d *Delegator) delegate(ctx context.Context, req fuchsiaspoke.AdmittedRequest, m fuchsiaspoke.Message, out ResponseWriter) error {
 	if longest := req.Deadline - d.Clock(); !d.Drainer.Takes(longest, 0) {
-		return draining("this VM is stopping, and the request may last longer")
+		d.Count("request_refused_draining")
+		return drainer.Refusal("the VM is stopping; the request may last longer")
 	}
 	for _, vm := range d.choose(req.Regions) {
 		if d.Clock() > req.Deadline-responseMargin {
@@ -175,13 +176,6 @@
 	return errors.As(err, &refusal) && refusal.Code == fuchsiaspoke.CodeReplicasUnreachable
 }
 
-// draining returns the refusal of a request that a VM can't serve or pass on before it ends.
-func draining(reason string) *fuchsiaspoke.Refusal {
-	return &fuchsiaspoke.Refusal{
-		Code: fuchsiaspoke.CodeDraining, Message: reason, Run: fuchsiaspoke.NotRun, Status: http.StatusServiceUnavailable,
-	}
-}
-
 // isDraining reports whether a VM has refused a request as it stops.
 func isDraining(err error) bool {
 	var refusal *fuchsiaspoke.Refusal
@@ -329,7 +323,7 @@
 		}
 	}
 	if !d.Drainer.Outlasts(delegation.TimeLeft) {
-		return draining("the VM to which the request was passed is stopping, and it may last longer")
+		return drainer.Refusal("the VM to which the request was passed is stopping, and it may last longer")
 	}
 	if d.Partitioned() {
 		return unreachable("the VM to which the request was passed reaches no replica either").WithRetryAfter(minUnreachableRetryAfter)
