Adapters that an engine holds stay known while a new owner reads its state

A new owner published an empty state from the moment at which it took an engine until it had read the engine's report; requests for its adapters were refused as "engines have no owner yet", at the new owner and, if a heartbeat fell into that time, at all VMs.

Change: a controller publishes the adapters of the former owner's view, not accepting, until its first state query has ended. No message changes.

--- a/upstream/controller/controller.go
+++ b/upstream/controller/controller.go
@@ -55,6 +55,9 @@
 	Clock func() time.Duration
 	// Owns reports whether this VM still owns the engine; it is called right before each order.
 	Owns func() bool
+	// Former is the view of the engine's former owner, if it is of the same process. Its adapters are published until the engine's state has
+	// been read, so that they are used meanwhile.
+	Former fuchsiaspoke.EngineView
 	// Pause returns how much longer the engine wants no orders and state queries from this VM.
 	Pause func() time.Duration
 	// Evacuated reports whether the engine's availability zone is evacuated; nil means that it never is.
@@ -82,6 +85,8 @@
 	initialized        bool
 	// stateKnown reports that the engine's adapter slots and order count are known; otherwise the next pass queries the engine.
 	stateKnown bool
+	// queried reports that the engine has answered a state query of this VM, or that one has failed.
+	queried bool
 	// orderCount is the engine's last reported order count, plus the orders of this VM that it accepted since; repeated adapter
 	// orders are not added. Each order expects it.
 	orderCount int64
@@ -203,6 +208,9 @@
 	v := c.sched.View()
 	v.Engine, v.Fence = c.Replica.Incarnation(), c.Fence
 	v.Accepting = c.modelLoaded && !c.unresponsive
+	if !c.queried {
+		v.Resident, v.Loading = c.Former.Resident, c.Former.Loading
+	}
 	v.WorkStep = c.Speed.Step()
 	return v
 }
--- a/upstream/controller/report.go
+++ b/upstream/controller/report.go
@@ -26,6 +26,7 @@
 	report, err := c.Engine.Report(ctx, c.Replica)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.queried = true
 	if err != nil {
 		c.Log("engine report failed", "engine", c.Replica.ID, "waiting", len(c.pending), "error", err.Error())
 		c.unresponsive = true
--- a/vm/entry/engines.go
+++ b/vm/entry/engines.go
@@ -190,6 +190,7 @@
 	}
 	if viewed && view.Engine == r.Incarnation() {
 		c.Speed.Resume(view.WorkStep)
+		c.Former = view
 	}
 	controllerCtx, cancel := context.WithCancel(ctx)
 	e.controllers[r.ID] = &ownedEngine{controller: c, cancel: cancel, startedAtMs: r.StartedAtMs}
