A VM that released an engine still knows which adapters it holds

Cause: a VM that stops releases its engines at once and serves callers for three seconds more; it forgot the engines' state with them, and refused requests for their adapters as "engines have no owner yet" until another VM had taken them. So did a VM whose process was paused.

Change: a requester keeps the view of an engine that it released, not accepting, until another VM's claim follows. No message changes.

--- a/upstream/requester/requester.go
+++ b/upstream/requester/requester.go
@@ -63,6 +63,14 @@
 
 	mu          sync.Mutex
 	controllers map[string]*controller.Controller
+	// released holds the last views of the engines that this VM has owned.
+	released map[string]releasedView
+}
+
+// releasedView is the view of an engine as this VM released it.
+type releasedView struct {
+	fuchsiaspoke.EngineView
+	at time.Duration
 }
 
 // Admission is the right to send one request to an engine, until Release.
@@ -82,13 +90,24 @@
 		r.controllers = make(map[string]*controller.Controller)
 	}
 	r.controllers[engine] = c
+	delete(r.released, engine)
 }
 
-// Remove unregisters the controller of an engine.
+// Remove unregisters the controller of an engine. Its last view remains, without an owner, until another VM owns the engine.
 func (r *Requester) Remove(engine string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	c := r.controllers[engine]
+	if c == nil {
+		return
+	}
 	delete(r.controllers, engine)
+	if r.released == nil {
+		r.released = make(map[string]releasedView)
+	}
+	view := c.View()
+	view.Accepting = false
+	r.released[engine] = releasedView{EngineView: view, at: r.Clock()}
 }
 
 // ObserveWork records the factor of work that an engine of this VM stated in the response to an order or a report call.
@@ -111,12 +130,20 @@
 }
 
 // View returns the latest view of an engine and the time at which it was received. A view from another VM is not
-// accepting once that VM's claim on the engine has ended or is older than Peers.PeerTimeout.
+// accepting once that VM's claim on the engine has ended or is older than Peers.PeerTimeout, and neither is that of an engine which this VM
+// has released.
 func (r *Requester) View(engine string) (fuchsiaspoke.EngineView, time.Duration, bool) {
-	if c := r.controller(engine); c != nil {
+	r.mu.Lock()
+	c := r.controllers[engine]
+	released, wasOwned := r.released[engine]
+	r.mu.Unlock()
+	if c != nil {
 		return c.View(), r.Clock(), true
 	}
 	view, claim, known := r.Peers.View(engine)
+	if isSucceeded := known && (view.Fence > released.Fence || claim.ReceivedAt > released.at); wasOwned && !isSucceeded {
+		return released.EngineView, released.at, true
+	}
 	view.Accepting = view.Accepting && !claim.Ended && r.Clock()-claim.ReceivedAt <= r.Peers.PeerTimeout()
 	return view, claim.ReceivedAt, known
 }
--- a/upstream/requester/requester_test.go
+++ b/upstream/requester/requester_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/controller"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -105,3 +107,33 @@
 		}
 	}
 }
+
+// An engine that a VM released was once unknown to it until another VM owned the engine.
+func TestReleasedEngineKeepsItsViewUntilAnotherVMOwnsIt(t *testing.T) {
+	now := 2 * time.Second
+	r := &requester.Requester{Peers: fakePeers{}, Clock: func() time.Duration { return now }}
+	held := []fuchsiaspoke.Adapter{{Name: "a"}}
+	for _, engine := range []string{"engine_1", "engine_2"} {
+		r.Add(engine, &controller.Controller{
+			Replica: fuchsiaspoke.Replica{ID: engine}, Fence: 7, Former: fuchsiaspoke.EngineView{Resident: held},
+		})
+		r.Remove(engine)
+		view, at, known := r.View(engine)
+		if !known || at != now || view.Accepting || !slices.Equal(view.Resident, held) {
+			t.Errorf("%s: view %+v of %v, want that of its release", engine, view, at)
+		}
+	}
+	r.Peers = successor{}
+	if view, _, _ := r.View("engine_1"); view.Fence != 8 || !view.Accepting {
+		t.Errorf("view %+v, want that of the next owner", view)
+	}
+}
+
+// successor is the owner of all engines with the fencing number 8.
+type successor struct{ fakePeers }
+
+func (s successor) View(engine string) (fuchsiaspoke.EngineView, fuchsiaspoke.EngineClaim, bool) {
+	view, claim, _ := s.fakePeers.View(engine)
+	view.Fence, claim.ReceivedAt = 8, 2*time.Second
+	return view, claim, true
+}
