Comments of links that close and of the phases of a stop: what they don't promise

Found by the review of: a probe that is lost is repeated only after twice the time, acknowledgements count as sent, and links may outlast StopPhases.End. Comments only.

--- a/link/acceptor/quiet.go
+++ b/link/acceptor/quiet.go
@@ -13,7 +13,7 @@
 	maxCloseDelay = time.Second
 	// quietCheckInterval is the interval between two looks at what a connection has sent.
 	quietCheckInterval = 5 * time.Millisecond
-	// quietProbes is the number of probe timeouts without a packet sent after which nothing is unacknowledged, even if one probe was lost.
+	// quietProbes is the number of probe timeouts without a packet sent after which nothing is taken to be unacknowledged.
 	quietProbes = 2
 	// ackDelay is the longest time by which the peer delays an acknowledgement, and deviations the number of mean deviations of the round trip
 	// in a probe timeout (RFC 9002, 6.2.1).
@@ -23,7 +23,8 @@
 
 // awaitQuiet waits until a connection has sent nothing for so long that what it sent before has been acknowledged, or the time most has
 // passed, which is minQuiet at least.
-// As long as anything is unacknowledged, the connection repeats it or probes its peer.
+// As long as anything is unacknowledged, the connection repeats it or probes its peer. Acknowledgements count as sent, so that a peer that goes
+// on sending delays the close.
 func awaitQuiet(conn *quic.Conn, most time.Duration) {
 	end := time.Now().Add(max(most, minQuiet))
 	sent, since := conn.ConnectionStats().PacketsSent, time.Now()
@@ -39,7 +40,8 @@
 	}
 }
 
-// quietTime returns how long a connection on this path sends nothing only if nothing is unacknowledged.
+// quietTime returns how long a connection on this path mostly sends nothing only if nothing is unacknowledged: it probes earlier, but a probe
+// that is lost is repeated only after twice the time.
 func quietTime(stats quic.ConnectionStats) time.Duration {
 	probeTimeout := stats.SmoothedRTT + deviations*stats.MeanDeviation + ackDelay
 	return max(minQuiet, quietProbes*probeTimeout)
--- a/stop_phases.go
+++ b/stop_phases.go
@@ -25,7 +25,7 @@
 	Waits time.Duration
 	// Runs is how long requests that were sent may run.
 	Runs time.Duration
-	// End is when the process ends, whatever runs.
+	// End is when nothing is served any more, whatever runs; only links from other VMs may stay open until Closes.
 	End time.Duration
 	// Closes is when links from other VMs are closed, whether or not the last responses to them are acknowledged.
 	Closes time.Duration
