--- a/link/acceptor/end_test.go
+++ b/link/acceptor/end_test.go
@@ -23,7 +23,7 @@
 	}
 }
 
-// A VM ends 50 ms after the last handler has returned, which is less than the repetition of lost packets takes on a long path.
+// Links once closed 50 ms after the last handler had returned, which is less than the repetition of lost packets takes on a long path.
 func TestCallThatIsCompleteArrivesOverLossyPathThoughTheAcceptorEnds(t *testing.T) {
 	expectCompleteCalls(t, 0, lossyPath)
 }
