Logs of refused sends name their connection

Whether a request was sent again on the connection on which it was refused couldn't be told from the logs: no line named the connection. replica answered and engine refused now say which one it was, how many requests it had carried before, and whether the response names its request, which tells hypotheses 1, 2 and 3 apart.

--- a/upstream/transport/conn.go
+++ b/upstream/transport/conn.go
@@ -17,6 +17,9 @@
 // conn is a connection to a replica. It carries one request at a time.
 type conn struct {
 	netConn net.Conn
+	// number is that of the connection in its transport, and requests counts the requests that it has carried.
+	number   uint64
+	requests int
 	// limiter bounds what reader reads from netConn.
 	limiter   *bytelimiter.Limiter
 	reader    *bufio.Reader
@@ -24,9 +27,9 @@
 	closeOnce sync.Once
 }
 
-func newConn(netConn net.Conn) *conn {
+func newConn(netConn net.Conn, number uint64) *conn {
 	limiter := &bytelimiter.Limiter{Reader: netConn}
-	return &conn{netConn: netConn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	return &conn{netConn: netConn, number: number, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
 // readHead reads the next response head, and skips informational (1xx) ones, which count towards its limit.
--- a/upstream/transport/response.go
+++ b/upstream/transport/response.go
@@ -23,9 +23,8 @@
 	stopCancelWatch func() bool
 	// foreignResponseRead reports that a response to another request was received on the connection, which is then not reused.
 	foreignResponseRead bool
-	// unnamed reports that the response names no request.
-	unnamed      bool
-	bodyComplete bool
+	use                 fuchsiaspoke.ConnectionUse
+	bodyComplete        bool
 }
 
 // Read reads the response body. It returns io.EOF only after the complete body; a truncated body gives another error.
@@ -47,6 +46,9 @@
 // Discard reads the rest of a body that is not needed, so that its connection can be reused. A body that does not end soon is an error.
 func (r *Response) Discard() error { return r.conn.discard(r) }
 
+// Use returns which connection carried the exchange.
+func (r *Response) Use() fuchsiaspoke.ConnectionUse { return r.use }
+
 // Framing returns how the response tells where its body ends.
 func (r *Response) Framing() fuchsiaspoke.Framing {
 	switch {
@@ -88,7 +90,7 @@
 // read completely, its end is given by Content-Length or chunked encoding, it names its request, the replica keeps the connection
 // open, and no bytes besides this response were received.
 func (r *Response) reusable() bool {
-	if !r.bodyComplete || r.foreignResponseRead || r.unnamed || r.response == nil || r.response.Close || r.conn.reader.Buffered() > 0 {
+	if !r.bodyComplete || r.foreignResponseRead || !r.use.Named || r.response == nil || r.response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if r.Framing() == fuchsiaspoke.FramedByConnection {
--- a/upstream/transport/transport.go
+++ b/upstream/transport/transport.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,6 +60,9 @@
 	// Contacts is told what shows whether replicas are reached; nil is told nothing.
 	Contacts contacts
 
+	// opened counts the connections.
+	opened atomic.Uint64
+
 	mu        sync.Mutex
 	idleConns map[string][]*conn
 }
@@ -174,7 +178,7 @@
 		return nil, err
 	}
 	t.reached()
-	return newConn(netConn), nil
+	return newConn(netConn, t.opened.Add(1)), nil
 }
 
 func (t *Transport) expect() {
@@ -259,6 +263,8 @@
 // since the replica may respond before it has read the whole message.
 func (r *Response) exchange(m fuchsiaspoke.Message, match func(http.Header) fuchsiaspoke.ResponseMatch) error {
 	r.transport.expect()
+	r.use = fuchsiaspoke.ConnectionUse{Number: r.conn.number, Before: r.conn.requests}
+	r.conn.requests++
 	written := make(chan error, 1)
 	encoded := encode(m)
 	go func() {
@@ -273,7 +279,7 @@
 		}
 		r.transport.reached()
 		if m := match(response.Header); m != fuchsiaspoke.ResponseForeign {
-			r.unnamed = m == fuchsiaspoke.ResponseUnnamed
+			r.use.Named = m == fuchsiaspoke.ResponseOwn
 			r.Status, r.Header, r.response = response.StatusCode, response.Header, response
 			return nil
 		}
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -199,7 +199,9 @@
 	if info.Misdirected || response.Status == http.StatusServiceUnavailable {
 		admission.Progress(true, workFactor(info))
 	}
-	t.logRequest("engine refused", "engine", r.ID, "adapter", t.request.Demand.Adapter, "status", response.Status)
+	t.logRequest("engine refused", append([]any{
+		"engine", r.ID, "address", r.Address, "adapter", t.request.Demand.Adapter, "status", response.Status,
+	}, response.Use().LogFields()...)...)
 	if !info.Misdirected {
 		t.sendCount++
 	}
--- a/vm/sender/plain.go
+++ b/vm/sender/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/bytelimiter"
@@ -133,10 +134,10 @@
 		t.observeLatency(t.Clock()-started, info)
 	}
 	t.executed = t.executed || !info.NotRun
-	t.logRequest("replica answered", append([]any{
-		"replica", r.ID, "status", response.Status, "not_run", info.NotRun, "took_ms", (t.Clock() - started).Milliseconds(),
-		"framing", string(response.Framing()),
-	}, loadFields(info.Notice.Load)...)...)
+	t.logRequest("replica answered", slices.Concat([]any{
+		"replica", r.ID, "address", r.Address, "status", response.Status, "not_run", info.NotRun,
+		"took_ms", (t.Clock() - started).Milliseconds(), "framing", string(response.Framing()),
+	}, response.Use().LogFields(), loadFields(info.Notice.Load))...)
 	return &reply{
 		status: response.Status, header: response.Header, body: body, notRun: info.NotRun, softwareVersion: r.SoftwareVersion, failed: failed,
 	}, nil
