No connection carries a request's id twice

What callers saw: a payment or a stream that had been refused with a promise ran, or ran twice.

Cause: a connection to a replica was taken to be clean after any response that names its request. But an id says which request, not which send of it: if the request goes out once more on the connection on which it was refused, a late copy of the refusal is taken for the answer to the second send, which runs. A caller who repeats a request under its id gets there, as the pool hands out the connection that was used last; so does the VM itself where a replica starts again under a new id at its address, as replicas that were tried are known by id and connections by address.

Class: an identifier that says who asked is taken for one that says which exchange it was.

So each id stands for one exchange on its connection, and the id of a response decides again. Ways by which a request comes again needn't be known.

Ruled out: closing connections after each refusal. It would not cover copies of other answers, and costs connections when load is worst.

--- a/upstream/transport/conn.go
+++ b/upstream/transport/conn.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/bytelimiter"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -20,6 +22,8 @@
 	// number is that of the connection in its transport, and requests counts the requests that it has carried.
 	number   uint64
 	requests int
+	// carried holds the hashes of those requests' ids.
+	carried []uint64
 	// limiter bounds what reader reads from netConn.
 	limiter   *bytelimiter.Limiter
 	reader    *bufio.Reader
@@ -60,6 +64,20 @@
 	return c.netConn.SetReadDeadline(time.Time{})
 }
 
+// mayCarry reports whether a request with an id may be sent on the connection: a late copy of the response to an earlier request with that id could
+// not be told from its own.
+func (c *conn) mayCarry(id string) bool {
+	return id == "" || len(c.carried) == 0 || !slices.Contains(c.carried, xxhash.Sum64String(id))
+}
+
+// record records that the connection carries a request.
+func (c *conn) record(id string) {
+	c.requests++
+	if id != "" {
+		c.carried = append(c.carried, xxhash.Sum64String(id))
+	}
+}
+
 func (c *conn) close() {
 	c.closeOnce.Do(func() { _ = c.netConn.Close() })
 }
--- a/upstream/transport/transport.go
+++ b/upstream/transport/transport.go
@@ -22,6 +22,8 @@
 	dialTimeout = 700 * time.Millisecond
 	// refusalTimeout bounds IsRefused: a connection that is not refused by then is not refused at all.
 	refusalTimeout = 300 * time.Millisecond
+	// maxRequestsPerConnection bounds the requests whose ids a connection remembers, after which it is closed.
+	maxRequestsPerConnection = 256
 	// maxIdlePerReplica bounds the number of idle connections to one address.
 	maxIdlePerReplica = 16
 	// defaultIdleLifetime is how long a connection may stay idle if the replica sends no Keep-Alive timeout.
@@ -70,12 +72,12 @@
 // Send writes the message to the replica once and returns the response with its head read.
 //
 // Its error is a *fuchsiaspoke.SendError, whose NotSent says that the replica received nothing. match states whether a head belongs
-// to this message; a late response to an earlier message on the same connection is discarded. A connection isn't reused after a
-// response that names no request: a second copy of it would be taken for the next response.
+// to this message; a late response to an earlier message on the same connection is discarded. A message is never sent on a connection that has carried
+// its id: a copy of the response to the first send would be taken for the second. Nor is one reused after a response that names no request.
 func (t *Transport) Send(
 	ctx context.Context, address string, m fuchsiaspoke.Message, match func(http.Header) fuchsiaspoke.ResponseMatch,
 ) (*Response, error) {
-	c, err := t.acquire(ctx, address)
+	c, err := t.acquire(ctx, address, m.ID)
 	if err != nil {
 		return nil, &fuchsiaspoke.SendError{Peer: address, Step: "connect", NotSent: true, Cause: err}
 	}
@@ -93,7 +95,7 @@
 func (t *Transport) SendAbandonable(
 	ctx context.Context, address string, m fuchsiaspoke.Message, match func(http.Header) fuchsiaspoke.ResponseMatch,
 ) (*Response, error) {
-	c, err := t.acquire(ctx, address)
+	c, err := t.acquire(ctx, address, m.ID)
 	if err != nil {
 		return nil, &fuchsiaspoke.SendError{Peer: address, Step: "connect", NotSent: true, Cause: err}
 	}
@@ -163,9 +165,9 @@
 	}
 }
 
-// acquire returns an idle connection to the address that is still usable, or opens a new one.
-func (t *Transport) acquire(ctx context.Context, address string) (*conn, error) {
-	for c := t.popIdle(address); c != nil; c = t.popIdle(address) {
+// acquire returns an idle connection to the address that is still usable and has not carried the id, or opens a new one.
+func (t *Transport) acquire(ctx context.Context, address, id string) (*conn, error) {
+	for c := t.popIdle(address, id); c != nil; c = t.popIdle(address, id) {
 		if c.usable(time.Now()) {
 			return c, nil
 		}
@@ -220,16 +222,18 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-func (t *Transport) popIdle(address string) *conn {
+// popIdle removes the connection that was used last of those that may carry the id from the idle ones, and returns it; nil if there is none.
+func (t *Transport) popIdle(address, id string) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	conns := t.idleConns[address]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if c.mayCarry(id) {
+			t.idleConns[address] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	t.idleConns[address] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 func (t *Transport) putIdle(address string, c *conn) {
@@ -264,7 +268,7 @@
 func (r *Response) exchange(m fuchsiaspoke.Message, match func(http.Header) fuchsiaspoke.ResponseMatch) error {
 	r.transport.expect()
 	r.use = fuchsiaspoke.ConnectionUse{Number: r.conn.number, Before: r.conn.requests}
-	r.conn.requests++
+	r.conn.record(m.ID)
 	written := make(chan error, 1)
 	encoded := encode(m)
 	go func() {
