A refusal that names no request is believed only on a connection that carried no other

What callers would see: a request that runs is answered 'not run', or runs once more elsewhere, since a copy, without an id, of the refusal of another request is the next head on its connection.

Cause: a head that names no request counted as the awaited one on any connection. Only the connection's later reuse was ruled out.

Change: such a head counts on a connection that has carried nothing else. On others the send fails with an unknown outcome.

--- a/upstream/transport/transport.go
+++ b/upstream/transport/transport.go
@@ -46,6 +46,9 @@
 // ErrAbandoned is the cause with which a caller of SendAbandonable ends its context if it does not need the response any more.
 var ErrAbandoned = errors.New("the response is not needed any more")
 
+// errUnnamed is the error of a response that names no request on a connection that has carried others: it may be a copy of one of their responses.
+var errUnnamed = errors.New("the response names no request, and the connection has carried others")
+
 // contacts learns whether replicas are reached.
 type contacts interface {
 	// Expect records that a response is waited for, or a connection is opened.
@@ -73,7 +76,7 @@
 //
 // Its error is a *fuchsiaspoke.SendError, whose NotSent says that the replica received nothing. match states whether a head belongs
 // to this message; a late response to an earlier message on the same connection is discarded. A message is never sent on a connection that has carried
-// its id: a copy of the response to the first send would be taken for the second. Nor is one reused after a response that names no request.
+// its id. A response that names no request counts only on a connection that has carried no other one, which isn't reused then.
 func (t *Transport) Send(
 	ctx context.Context, address string, m fuchsiaspoke.Message, match func(http.Header) fuchsiaspoke.ResponseMatch,
 ) (*Response, error) {
@@ -284,6 +287,9 @@
 		r.transport.reached()
 		if m := match(response.Header); m != fuchsiaspoke.ResponseForeign {
 			r.use.Named = m == fuchsiaspoke.ResponseOwn
+			if !r.use.Named && r.use.Before > 0 {
+				return errUnnamed
+			}
 			r.Status, r.Header, r.response = response.StatusCode, response.Header, response
 			return nil
 		}
