Callers' bodies share a memory of bounded size

What callers saw: a process that ran out of memory under many bodies of legal size, and ended with all that it served.

Cause: each body was bounded, their sum was not; large bodies were copied once more for each send. Class: limits per request where the resource is per machine.

Change: vm/bodyreader lends bodies their memory, block by block, before it is read: an eighth of the machine's for bodies above 64 KiB, a sixteenth for the others, so that large ones can't keep small ones out. When it is used up, the largest body that is still arriving gives way, and of several the one that began first; ordinary callers send theirs at once. What gives way is refused as not run (503, memory_short). A body announced beyond the limit is refused unread. Bodies above 64 KiB are no longer copied to be sent.

--- a/refusal.go
+++ b/refusal.go
@@ -19,6 +19,7 @@
 const (
 	CodeInvalidRequest      RefusalCode = "invalid_request"
 	CodeTooLarge            RefusalCode = "request_too_large"
+	CodeMemoryShort         RefusalCode = "memory_short"
 	CodeUnauthenticated     RefusalCode = "unauthenticated"
 	CodeKeyWithdrawn        RefusalCode = "key_withdrawn"
 	CodeForbidden           RefusalCode = "profile_not_allowed"
--- a/upstream/transport/transport.go
+++ b/upstream/transport/transport.go
@@ -39,6 +39,8 @@
 	// maxHeadBytes bounds what is received up to the end of a response head. Replicas send back little of a request's header.
 	maxHeadBytes    = 64 << 10
 	readBufferBytes = 4096
+	// maxJoinedBytes is the size up to which a body is copied behind its header, so that one packet may hold both.
+	maxJoinedBytes = 64 << 10
 	// abandonTimeout bounds the time in which an abandoned response is read to its end.
 	abandonTimeout = 2 * time.Second
 )
@@ -252,18 +254,22 @@
 	t.idleConns[address] = append(t.idleConns[address], c)
 }
 
-// encode returns the message in HTTP/1.1 wire format. The body is sent with Content-Length, never chunked.
-func encode(m fuchsiaspoke.Message) []byte {
+// encode returns the message in HTTP/1.1 wire format, in one part or, if the body is large, in two. The body is sent with Content-Length, never chunked.
+func encode(m fuchsiaspoke.Message) net.Buffers {
+	joined := len(m.Body) <= maxJoinedBytes
 	var b bytes.Buffer
-	b.Grow(len(m.Body) + 1024)
+	b.Grow(min(len(m.Body), maxJoinedBytes) + 1024)
 	b.WriteString(m.Method + " " + m.Target + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
 	_ = m.Header.Write(&b)
 	if len(m.Body) > 0 || m.Method != http.MethodGet {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(m.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
+	if !joined {
+		return net.Buffers{b.Bytes(), m.Body}
+	}
 	b.Write(m.Body)
-	return b.Bytes()
+	return net.Buffers{b.Bytes()}
 }
 
 // exchange writes the message and reads response heads until that of the message's own response. The write runs in a goroutine,
@@ -275,7 +281,7 @@
 	written := make(chan error, 1)
 	encoded := encode(m)
 	go func() {
-		_, err := r.conn.netConn.Write(encoded)
+		_, err := encoded.WriteTo(r.conn.netConn)
 		written <- err
 	}()
 	r.writeResult = written
--- /dev/null
+++ b/vm/bodyreader/bodyreader_test.go
@@ -0,0 +1,131 @@
+package bodyreader_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/bodyreader"
+)
+
+const limit = 1 << 20
+
+// stalled sends n bytes and then nothing, until it is interrupted.
+type stalled struct {
+	left        int
+	waiting     chan struct{}
+	interrupted chan struct{}
+	once        sync.Once
+}
+
+func newStalled(n int) *stalled {
+	return &stalled{left: n, waiting: make(chan struct{}), interrupted: make(chan struct{})}
+}
+
+func (s *stalled) Read(p []byte) (int, error) {
+	if s.left > 0 {
+		n := min(s.left, len(p))
+		s.left -= n
+		return n, nil
+	}
+	s.once.Do(func() { close(s.waiting) })
+	<-s.interrupted
+	return 0, errors.New("interrupted")
+}
+
+// arrive has a body arrive that stalls after n bytes, and returns once it does. The channel receives the error.
+func arrive(r *bodyreader.BodyReader, n int) <-chan error {
+	s, result := newStalled(n), make(chan error, 1)
+	go func() {
+		_, release, err := r.Read(bodyreader.Source{Reader: s, Announced: -1, Interrupt: func() { close(s.interrupted) }}, limit)
+		release()
+		result <- err
+	}()
+	<-s.waiting
+	return result
+}
+
+func TestBodiesOfAllSizesAreRead(t *testing.T) {
+	var r bodyreader.BodyReader
+	for _, size := range []int{0, 1, 4095, 4096, 4097, 64 << 10, 64<<10 + 1, limit - 1, limit, limit + 1} {
+		want := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
+		for _, from := range []bodyreader.Source{
+			{Reader: bytes.NewReader(want), Announced: int64(size)},
+			{Reader: bytes.NewReader(want), Announced: -1},
+			{Reader: iotest.HalfReader(bytes.NewReader(want)), Announced: -1},
+			{Reader: iotest.DataErrReader(bytes.NewReader(want)), Announced: int64(size)},
+		} {
+			got, release, err := r.Read(from, limit)
+			var exceeded *fuchsiaspoke.LimitError
+			if errors.As(err, &exceeded) != (size > limit) || err == nil && !bytes.Equal(got, want) {
+				t.Errorf("%d bytes: read %d, error %v", size, len(got), err)
+			}
+			release()
+		}
+	}
+	if lent := r.Small.Lent() + r.Large.Lent(); lent != 0 {
+		t.Errorf("%d bytes are still lent", lent)
+	}
+}
+
+func TestBodyThatEndsEarlyFails(t *testing.T) {
+	var r bodyreader.BodyReader
+	_, release, err := r.Read(bodyreader.Source{Reader: io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(io.ErrUnexpectedEOF)), Announced: 9}, limit)
+	release()
+	if !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against bodies that stop short of their end and keep all others out.
+func TestLargestBodyThatArrivesGivesWay(t *testing.T) {
+	var r bodyreader.BodyReader
+	r.Large.Limit, r.Small.Limit = 600<<10, 100<<10
+	first, second := arrive(&r, 200<<10), arrive(&r, 300<<10)
+	content, release, err := r.Read(bodyreader.Source{Reader: bytes.NewReader(make([]byte, 150<<10)), Announced: 150 << 10}, limit)
+	if err != nil || len(content) != 150<<10 {
+		t.Fatalf("read %d bytes, error %v", len(content), err)
+	}
+	if err := <-second; !errors.Is(err, bodyreader.ErrNoMemory) {
+		t.Errorf("the larger body: error %v", err)
+	}
+	select {
+	case err := <-first:
+		t.Errorf("the smaller body gave way: %v", err)
+	default:
+	}
+	release()
+	if !r.InterruptFirst() || r.InterruptFirst() {
+		t.Error("not exactly one body arrives")
+	}
+	<-first
+	if lent := r.Small.Lent() + r.Large.Lent(); lent != 0 {
+		t.Errorf("%d bytes are still lent", lent)
+	}
+}
+
+// Guards against large bodies that keep small ones out: what is complete doesn't give way.
+func TestSmallBodiesHaveMemoryOfTheirOwn(t *testing.T) {
+	var r bodyreader.BodyReader
+	r.Large.Limit, r.Small.Limit = 300<<10, 100<<10
+	_, release, err := r.Read(bodyreader.Source{Reader: bytes.NewReader(make([]byte, 150<<10)), Announced: 150 << 10}, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer release()
+	_, second, err := r.Read(bodyreader.Source{Reader: bytes.NewReader(make([]byte, 200<<10)), Announced: 200 << 10}, limit)
+	second()
+	if !errors.Is(err, bodyreader.ErrNoMemory) {
+		t.Errorf("a second large body: error %v", err)
+	}
+	_, third, err := r.Read(bodyreader.Source{Reader: strings.NewReader("ordinary"), Announced: 8}, limit)
+	third()
+	if err != nil {
+		t.Errorf("a small body: error %v", err)
+	}
+}
