--- a/vm/bodyreader/bodyreader.go
+++ b/vm/bodyreader/bodyreader.go
@@ -79,8 +79,8 @@
 	close(b.ended)
 }
 
-// InterruptFirst interrupts the body that has been arriving for the longest time, and reports whether there is one.
-func (r *BodyReader) InterruptFirst() bool {
+// InterruptFirst interrupts the body that has been arriving for the longest time, if there is one.
+func (r *BodyReader) InterruptFirst() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var first *body
@@ -89,11 +89,9 @@
 			first = b
 		}
 	}
-	if first == nil {
-		return false
+	if first != nil {
+		first.interrupt()
 	}
-	first.interrupt()
-	return true
 }
 
 // makeRoom interrupts the largest body of those that use a lender, unless that is b itself or there is no other one, and returns it.
