Whole responses of replicas borrow the memory that they hold, an eighth of the VM's

What callers see: while a replica sends bytes without end, the VM that calls it runs out of memory, and all requests on it end with it.

Cause: each whole response was bounded by 16 MiB, and read by io.ReadAll, which holds up to 2.25 times that while it grows. How many were held at once wasn't bounded. Class: limits per request where the resource is the machine's.

Change: vm/bytelender lends the bytes of a bounded memory. A whole body is read in parts of up to 256 KiB, borrows each before it is read, and is sent on part by part, so that nothing is copied as it grows; whether an event stream ended inside an event is found without a copy, too (eventsplitter.Skip). The loans are shared by all attempts of a request and end with it, those of a failed read at once. A response that may not borrow fails like one that is too long: LimitError "sum of whole responses held at once", connection closed, outcome unknown, retried where that is allowed; counted as response_memory_exhausted. A body whose announced length is above 16 MiB fails before it is read. The first 4 KiB of each body need no loan, so that faulty replicas don't keep ordinary responses (800 bytes) from being read. The limit is an eighth of the memory in the settings; without one there is none.

Ruled out: a lower limit per response.

Not covered: an engine's stream holds its incomplete event, each up to its own limit; those of a crowd aren't bounded together.

--- a/upstream/eventsplitter/eventsplitter.go
+++ b/upstream/eventsplitter/eventsplitter.go
@@ -21,7 +21,9 @@
 	from := len(s.pending)
 	s.pending = append(s.pending, p...)
 	for i := from; i < len(s.pending); i++ {
-		s.scan(i)
+		if s.scan(s.pending[i]) {
+			s.end = i + 1
+		}
 	}
 	return s.pending[:s.end]
 }
@@ -29,9 +31,18 @@
 // Rest returns the bytes after the last complete event.
 func (s *Splitter) Rest() []byte { return s.pending[s.end:] }
 
-// scan advances by the byte at position i. Lines end with a line feed, a carriage return, or both.
-func (s *Splitter) scan(i int) {
-	switch b := s.pending[i]; {
+// Skip advances over bytes of the stream without keeping them, and reports whether the stream is inside an event then. A stream is read
+// either by Skip or by Add.
+func (s *Splitter) Skip(p []byte) (inside bool) {
+	for _, b := range p {
+		inside = !s.scan(b)
+	}
+	return inside
+}
+
+// scan advances by a byte, and reports whether the stream is at the end of an event then. Lines end with a line feed, a carriage return, or both.
+func (s *Splitter) scan(b byte) bool {
+	switch {
 	case b == '\n' && s.afterCR:
 		s.afterCR = false
 	case b == '\n' || b == '\r':
@@ -41,7 +52,5 @@
 	default:
 		s.inLine, s.afterCR, s.atEventEnd = true, false, false
 	}
-	if s.atEventEnd {
-		s.end = i + 1
-	}
+	return s.atEventEnd
 }
--- a/upstream/eventsplitter/eventsplitter_test.go
+++ b/upstream/eventsplitter/eventsplitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -55,3 +56,22 @@
 		}
 	})
 }
+
+// Skip and Add agree on whether a stream is inside an event.
+func TestSkipAgreesWithAdd(t *testing.T) {
+	for _, stream := range []string{
+		"a", "a\n", "a\n\n", "a\n\nb", "a\r\r", "a\r\n\r\n", "a\r\n\r", "a\r\n", "a\n\nb\n", "\n", "\r", "a\n\n\n", "a\n\r\n", "a\n\r",
+	} {
+		for size := 1; size <= len(stream); size++ {
+			var kept, skipped eventsplitter.Splitter
+			inside := false
+			for part := range slices.Chunk([]byte(stream), size) {
+				kept.Add(part)
+				inside = skipped.Skip(part)
+			}
+			if want := len(kept.Rest()) > 0; inside != want {
+				t.Errorf("%q in parts of %d: inside %v, want %v", stream, size, inside, want)
+			}
+		}
+	}
+}
--- a/upstream/transport/response.go
+++ b/upstream/transport/response.go
@@ -39,6 +39,14 @@
 	return n, err
 }
 
+// Length returns the announced length of the body, or -1 if there is none.
+func (r *Response) Length() int64 {
+	if r.response.Body == http.NoBody {
+		return 0
+	}
+	return r.response.ContentLength
+}
+
 // LimitBody bounds the bytes in which the rest of the body comes from the connection, its framing included: chunks of few bytes take long
 // to read.
 func (r *Response) LimitBody(limit int64) { r.conn.limiter.Limit("response body", limit) }
--- a/vm/entry/entry.go
+++ b/vm/entry/entry.go
@@ -91,6 +91,8 @@
 	FirstStart bool
 	// DialReplica opens a connection to a replica; nil means net.Dialer.DialContext.
 	DialReplica func(ctx context.Context, network, address string) (net.Conn, error)
+	// MaxResponseMemory is how many bytes of replicas' whole responses may be held at once; 0 is any.
+	MaxResponseMemory int64
 	// LinkSecret is the secret from which the keys of the links between VMs are derived.
 	LinkSecret string
 	Log        func(event string, keysAndValues ...any)
--- a/vm/entry/initialize.go
+++ b/vm/entry/initialize.go
@@ -21,6 +21,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/requester"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/warmupdetector"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/authorizer"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/bytelender"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/delegator"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/sender"
 	"github.com/fuchsiaspoke/fuchsiaspoke/zone/registrar"
@@ -124,7 +125,7 @@
 		Quarantiner: e.quarantiner, RetryBudget: &e.retryLimiters, Clock: e.timer.Now,
 		Log: e.Log, Observe: e.Observe, ObserveBodyEnd: e.ObserveBodyEnd,
 		Count: e.CountEvent, TimeUntilOwned: e.timeUntilOwned, Regions: e.Regions, Partition: &e.partition,
-		Drainer: &e.drainer,
+		Drainer: &e.drainer, Responses: &bytelender.Lender{Limit: e.MaxResponseMemory},
 	}
 	e.delegator = &delegator.Delegator{
 		Self: e.VM, Partitioned: e.partition.Partitioned, Peers: e.delegationPeers, Dialer: e.dialer, Regions: e.Regions, Clock: e.timer.Now,
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -212,7 +212,7 @@
 func (t *requestTask) handleFailure(
 	r fuchsiaspoke.Replica, started time.Duration, info fuchsiaspoke.ResponseInfo, response *transport.Response,
 ) *outcome {
-	body, err := readBody(response)
+	body, err := t.readBody(response)
 	t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
 	t.Tracker.RecordAnswer(t.Clock(), r.ID, t.Clock()-started, true)
 	t.logRequest("engine failed", "engine", r.ID, "status", response.Status, "usable", info.Forwardable)
--- a/vm/sender/plain.go
+++ b/vm/sender/plain.go
@@ -6,9 +6,6 @@
 	"slices"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
-	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/bytelimiter"
-	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/eventsplitter"
-	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
 	"github.com/pkg/errors"
 )
 
@@ -108,7 +105,7 @@
 	defer response.Close()
 	info := t.interpretHead(r, response, started)
 	t.observeSpeed(r, info)
-	body, err := readBody(response)
+	body, err := t.readBody(response)
 	t.recordBodyEnd(r, response.Framing(), bodyEnd(err))
 	if err == nil && !info.Forwardable && !info.NotRun {
 		err = errors.New("response lacks the request's attempt ID or the replica's seal")
@@ -142,19 +139,3 @@
 		status: response.Status, header: response.Header, body: body, notRun: info.NotRun, softwareVersion: r.SoftwareVersion, failed: failed,
 	}, nil
 }
-
-// readBody reads a whole body. It fails if the body is longer than maxResponseBytes, framing included, or an event stream that ended inside an event.
-func readBody(response *transport.Response) ([]byte, error) {
-	response.LimitBody(maxResponseBytes)
-	body, err := bytelimiter.ReadAll(response, "response body", maxResponseBytes)
-	if err != nil {
-		return nil, err
-	}
-	if isEventStream(response.Header) {
-		var s eventsplitter.Splitter
-		if s.Add(body); len(s.Rest()) > 0 {
-			return nil, errEndedInsideEvent
-		}
-	}
-	return body, nil
-}
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -20,6 +20,7 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/selector"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/tracker"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/transport"
+	"github.com/fuchsiaspoke/fuchsiaspoke/vm/bytelender"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/drainer"
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/durationmeter"
 	"github.com/pkg/errors"
@@ -140,6 +141,8 @@
 	Partition partition
 	// Drainer ends what waits and what runs when the VM stops; nil is that of a VM that does not stop.
 	Drainer *drainer.Drainer
+	// Responses lends the bytes of whole responses, beyond the first few of each, until they are sent to their callers; nil sets no bound.
+	Responses *bytelender.Lender
 
 	loadFaults loadFaultLog
 	estimator  estimator.Estimator
@@ -162,8 +165,9 @@
 	defer stopWaits()
 	t := &requestTask{
 		Sender: s, request: req, message: m, out: out, sendDeadline: limit, callerCtx: ctx, waits: waits, expires: expires,
-		traits: fuchsiaspoke.Traits(req, m),
+		traits: fuchsiaspoke.Traits(req, m), loan: &loan{lender: s.Responses},
 	}
+	defer t.loan.end()
 	began := s.Clock()
 	longest := limit + responseMargin - began
 	if s.Drainer.Draining() && !s.Drainer.Takes(longest, s.durations.Usual(req.Route.Name)) {
@@ -200,7 +204,7 @@
 type reply struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *wholeBody
 	notRun bool
 	// softwareVersion is that of the replica.
 	softwareVersion string
--- a/vm/sender/task.go
+++ b/vm/sender/task.go
@@ -48,6 +48,8 @@
 	// abandonable means that an attempt may be hedged, so that its response may turn out not to be needed; hedging that the attempt that is
 	// being made is the hedge.
 	abandonable, hedging bool
+	// loan is what the whole responses to the request hold.
+	loan *loan
 	// trial means that the request is sent although one of its traits is in quarantine.
 	trial bool
 }
@@ -154,8 +156,8 @@
 	if t.resumed == nil && isEventStream(r.header) {
 		t.recordOrigin(r.softwareVersion)
 	}
-	t.out.Head(r.status, r.header, len(r.body))
-	if err := t.out.Body(r.body); err != nil {
+	t.out.Head(r.status, r.header, int(r.body.bytes))
+	if err := r.body.writeTo(t.out); err != nil {
 		return ErrCallerDisconnected
 	}
 	return nil
