Messages whose responses name nothing go out on connections of their own

What could happen: a late copy of the answer to an order or a report was the answer to the next one (an order that was carried out counts as refused, and the engine is given up; one that was not counts as done, and an adapter too many is loaded). The copy of a refused HEAD request's head, which states a length and has no body, swallowed the next response. And since a request without an id that a replica refuses (400, X-Not-Executed, naming nothing) had an unknown outcome on a used connection, and its sound replica was avoided.

Cause: responses to orders, reports and requests without an id name nothing; those to HEAD have a length that depends on the method.

Change: such messages go out on connections that carry nothing else, before or after.

--- a/message.go
+++ b/message.go
@@ -5,7 +5,10 @@
 // Message is an HTTP/1.1 request to a replica.
 type Message struct {
 	// ID is repeated in the response, and no connection carries it twice; "" stands for none. VMs don't send it to each other.
-	ID     string `cbor:"-"`
+	ID string `cbor:"-"`
+	// Alone means that the message goes out on a connection of its own, as its response names nothing by which it could be told from others. VMs don't
+	// send it to each other.
+	Alone  bool `cbor:"-"`
 	Method string
 	// Target is the path and query; those of a caller's request are passed on unchanged.
 	Target string
--- a/upstream/transport/conn.go
+++ b/upstream/transport/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/bytelimiter"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -22,8 +23,9 @@
 	// number is that of the connection in its transport, and requests counts the requests that it has carried.
 	number   uint64
 	requests int
-	// carried holds the hashes of those requests' ids.
+	// carried holds the hashes of those requests' ids, and alone means that it may carry no other one.
 	carried []uint64
+	alone   bool
 	// limiter bounds what reader reads from netConn.
 	limiter   *bytelimiter.Limiter
 	reader    *bufio.Reader
@@ -64,20 +66,30 @@
 	return c.netConn.SetReadDeadline(time.Time{})
 }
 
-// mayCarry reports whether a request with an id may be sent on the connection: a late copy of the response to an earlier request with that id could
+// mayCarry reports whether a message may be sent on the connection, which has carried others: a late copy of the response to one with the same id could
 // not be told from its own.
-func (c *conn) mayCarry(id string) bool {
-	return id == "" || len(c.carried) == 0 || !slices.Contains(c.carried, xxhash.Sum64String(id))
+func (c *conn) mayCarry(m fuchsiaspoke.Message) bool {
+	return !isAlone(m) && (m.ID == "" || !slices.Contains(c.carried, xxhash.Sum64String(m.ID)))
 }
 
-// record records that the connection carries a request.
-func (c *conn) record(id string) {
+// isAlone reports whether a message goes out on a connection of its own. The length of a response to HEAD depends on the method, so that the end of a
+// late copy is not found by those who sent another one.
+func isAlone(m fuchsiaspoke.Message) bool { return m.Alone || m.Method == http.MethodHead }
+
+// record records that the connection carries a message.
+func (c *conn) record(m fuchsiaspoke.Message) {
 	c.requests++
-	if id != "" {
-		c.carried = append(c.carried, xxhash.Sum64String(id))
+	c.alone = isAlone(m)
+	if m.ID != "" {
+		c.carried = append(c.carried, xxhash.Sum64String(m.ID))
 	}
 }
 
+// mayCarryMore reports whether the connection may carry another message: the last one need not be alone, and its ids are not too many to remember.
+func (c *conn) mayCarryMore() bool {
+	return !c.alone && len(c.carried) < maxRequestsPerConnection
+}
+
 func (c *conn) close() {
 	c.closeOnce.Do(func() { _ = c.netConn.Close() })
 }
--- a/upstream/transport/response.go
+++ b/upstream/transport/response.go
@@ -96,12 +96,9 @@
 
 // reusable reports whether the connection may carry another request: the request was written without error, the response was
 // read completely, its end is given by Content-Length or chunked encoding, it names its request, the replica keeps the connection
-// open, no bytes besides this response were received, and the connection remembers all requests that it has carried.
+// open, no bytes besides this response were received, and the connection may carry others beside its message.
 func (r *Response) reusable() bool {
-	if len(r.conn.carried) >= maxRequestsPerConnection {
-		return false
-	}
-	if !r.bodyComplete || r.foreignResponseRead || !r.use.Named || r.response == nil || r.response.Close || r.conn.reader.Buffered() > 0 {
+	if !r.conn.mayCarryMore() || !r.bodyComplete || r.foreignResponseRead || !r.use.Named || r.response == nil || r.response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if r.Framing() == fuchsiaspoke.FramedByConnection {
--- a/upstream/transport/transport.go
+++ b/upstream/transport/transport.go
@@ -82,7 +82,7 @@
 func (t *Transport) Send(
 	ctx context.Context, address string, m fuchsiaspoke.Message, match func(http.Header) fuchsiaspoke.ResponseMatch,
 ) (*Response, error) {
-	c, err := t.acquire(ctx, address, m.ID)
+	c, err := t.acquire(ctx, address, m)
 	if err != nil {
 		return nil, &fuchsiaspoke.SendError{Peer: address, Step: "connect", NotSent: true, Cause: err}
 	}
@@ -100,7 +100,7 @@
 func (t *Transport) SendAbandonable(
 	ctx context.Context, address string, m fuchsiaspoke.Message, match func(http.Header) fuchsiaspoke.ResponseMatch,
 ) (*Response, error) {
-	c, err := t.acquire(ctx, address, m.ID)
+	c, err := t.acquire(ctx, address, m)
 	if err != nil {
 		return nil, &fuchsiaspoke.SendError{Peer: address, Step: "connect", NotSent: true, Cause: err}
 	}
@@ -170,9 +170,9 @@
 	}
 }
 
-// acquire returns an idle connection to the address that is still usable and has not carried the id, or opens a new one.
-func (t *Transport) acquire(ctx context.Context, address, id string) (*conn, error) {
-	for c := t.popIdle(address, id); c != nil; c = t.popIdle(address, id) {
+// acquire returns an idle connection to the address that is still usable and may carry the message, or opens a new one.
+func (t *Transport) acquire(ctx context.Context, address string, m fuchsiaspoke.Message) (*conn, error) {
+	for c := t.popIdle(address, m); c != nil; c = t.popIdle(address, m) {
 		if c.usable(time.Now()) {
 			return c, nil
 		}
@@ -227,13 +227,13 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// popIdle removes the connection that was used last of those that may carry the id from the idle ones, and returns it; nil if there is none.
-func (t *Transport) popIdle(address, id string) *conn {
+// popIdle removes the connection that was used last of those that may carry the message from the idle ones, and returns it; nil if there is none.
+func (t *Transport) popIdle(address string, m fuchsiaspoke.Message) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	conns := t.idleConns[address]
 	for i, c := range slices.Backward(conns) {
-		if c.mayCarry(id) {
+		if c.mayCarry(m) {
 			t.idleConns[address] = slices.Delete(conns, i, i+1)
 			return c
 		}
@@ -277,7 +277,7 @@
 func (r *Response) exchange(m fuchsiaspoke.Message, match func(http.Header) fuchsiaspoke.ResponseMatch) error {
 	r.transport.expect()
 	r.use = fuchsiaspoke.ConnectionUse{Number: r.conn.number, Before: r.conn.requests}
-	r.conn.record(m.ID)
+	r.conn.record(m)
 	written := make(chan error, 1)
 	encoded := encode(m)
 	go func() {
