--- a/upstream/transport/response.go
+++ b/upstream/transport/response.go
@@ -57,6 +57,9 @@
 // Use returns which connection carried the exchange.
 func (r *Response) Use() fuchsiaspoke.ConnectionUse { return r.use }
 
+// KeepFromReuse has the connection closed after the response.
+func (r *Response) KeepFromReuse() { r.conn.alone = true }
+
 // Framing returns how the response tells where its body ends.
 func (r *Response) Framing() fuchsiaspoke.Framing {
 	switch {
