--- a/vm/connectionlimiter/connectionlimiter_test.go
+++ b/vm/connectionlimiter/connectionlimiter_test.go
@@ -1,6 +1,7 @@
 package connectionlimiter_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -32,7 +33,9 @@
 	t.Cleanup(func() {
 		close(held)
 		_ = server.Close()
-		<-ended
+		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
 	})
 	return socket.Addr().String()
 }
