--- a/vm/bodyreader/body.go
+++ b/vm/bodyreader/body.go
@@ -10,11 +10,14 @@
 
 // body is a body that is arriving, or whose memory is lent.
 type body struct {
-	reader *BodyReader
-	source Source
-	began  time.Time
-	blocks [][]byte
-	size   int64
+	reader    *BodyReader
+	from      io.Reader
+	announced int64
+	// interruptRead has reads from the caller fail at once.
+	interruptRead func()
+	began         time.Time
+	blocks        [][]byte
+	size          int64
 	// ended is closed when the body no longer arrives.
 	ended chan struct{}
 
@@ -39,19 +42,17 @@
 		return
 	}
 	b.interrupted = true
-	if b.source.Interrupt != nil {
-		b.source.Interrupt()
-	}
+	b.interruptRead()
 }
 
 // read reads blocks up to the end of the body.
 func (b *body) read(limit int64) error {
-	for b.source.Announced < 0 || b.size < b.source.Announced {
+	for b.announced < 0 || b.size < b.announced {
 		block, err := b.nextBlock(limit)
 		if err != nil {
 			return err
 		}
-		n, err := fill(block, b.source)
+		n, err := fill(block, b.from)
 		b.size += int64(n)
 		b.blocks = append(b.blocks, block[:n])
 		switch {
@@ -81,8 +82,8 @@
 // nextBlock returns the next block, whose memory is lent. A small body of announced length has one block; others end one byte beyond the limit.
 func (b *body) nextBlock(limit int64) ([]byte, error) {
 	size := min(max(b.size, firstBlockBytes), maxBlockBytes, limit+1-b.size)
-	if left := b.source.Announced - b.size; b.source.Announced >= 0 {
-		size = min(left, maxBlockBytes)
+	if b.announced >= 0 {
+		size = min(b.announced-b.size, maxBlockBytes)
 	}
 	if err := b.borrow(size); err != nil {
 		return nil, err
--- a/vm/bodyreader/bodyreader.go
+++ b/vm/bodyreader/bodyreader.go
@@ -35,20 +35,12 @@
 	arriving map[*body]bool
 }
 
-// Source is where a body comes from.
-type Source struct {
-	io.Reader
-	// Announced is the length that the caller announced; below 0 it is not known.
-	Announced int64
-	// Interrupt has a Read that waits, and all later ones, fail at once.
-	Interrupt func()
-}
-
-// Read reads a body to its end, which comes within limit bytes. The memory is lent until release is called, also after an error. The error is a
-// *fuchsiaspoke.LimitError beyond the limit, ErrNoMemory, or that of the source.
-func (r *BodyReader) Read(from Source, limit int64) (content []byte, release func(), err error) {
-	b := &body{reader: r, source: from, began: time.Now(), ended: make(chan struct{})}
-	if from.Announced > limit {
+// Read reads a body to its end, which comes within limit bytes; announced is the length that its caller has announced, below 0 none. interrupt has reads
+// that wait, and all later ones, fail at once. The memory is lent until release is called, also after an error. The error is a *fuchsiaspoke.LimitError
+// beyond the limit, ErrNoMemory, or that of from.
+func (r *BodyReader) Read(from io.Reader, announced, limit int64, interrupt func()) (content []byte, release func(), err error) {
+	b := &body{reader: r, from: from, announced: announced, interruptRead: interrupt, began: time.Now(), ended: make(chan struct{})}
+	if announced > limit {
 		return nil, b.release, &fuchsiaspoke.LimitError{Part: "request body", Bytes: limit}
 	}
 	r.add(b)
--- a/vm/bodyreader/bodyreader_test.go
+++ b/vm/bodyreader/bodyreader_test.go
@@ -15,6 +15,8 @@
 
 const limit = 1 << 20
 
+func neverInterrupted() {}
+
 // stalled sends n bytes and then nothing, until it is interrupted.
 type stalled struct {
 	left        int
@@ -42,7 +44,7 @@
 func arrive(r *bodyreader.BodyReader, n int) <-chan error {
 	s, result := newStalled(n), make(chan error, 1)
 	go func() {
-		_, release, err := r.Read(bodyreader.Source{Reader: s, Announced: -1, Interrupt: func() { close(s.interrupted) }}, limit)
+		_, release, err := r.Read(s, -1, limit, func() { close(s.interrupted) })
 		release()
 		result <- err
 	}()
@@ -54,13 +56,14 @@
 	var r bodyreader.BodyReader
 	for _, size := range []int{0, 1, 4095, 4096, 4097, 64 << 10, 64<<10 + 1, limit - 1, limit, limit + 1} {
 		want := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
-		for _, from := range []bodyreader.Source{
-			{Reader: bytes.NewReader(want), Announced: int64(size)},
-			{Reader: bytes.NewReader(want), Announced: -1},
-			{Reader: iotest.HalfReader(bytes.NewReader(want)), Announced: -1},
-			{Reader: iotest.DataErrReader(bytes.NewReader(want)), Announced: int64(size)},
+		for _, form := range []struct {
+			from      io.Reader
+			announced int
+		}{
+			{bytes.NewReader(want), size}, {bytes.NewReader(want), -1}, {iotest.HalfReader(bytes.NewReader(want)), -1},
+			{iotest.DataErrReader(bytes.NewReader(want)), size},
 		} {
-			got, release, err := r.Read(from, limit)
+			got, release, err := r.Read(form.from, int64(form.announced), limit, neverInterrupted)
 			var exceeded *fuchsiaspoke.LimitError
 			if errors.As(err, &exceeded) != (size > limit) || err == nil && !bytes.Equal(got, want) {
 				t.Errorf("%d bytes: read %d, error %v", size, len(got), err)
@@ -75,7 +78,7 @@
 
 func TestBodyThatEndsEarlyFails(t *testing.T) {
 	var r bodyreader.BodyReader
-	_, release, err := r.Read(bodyreader.Source{Reader: io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(io.ErrUnexpectedEOF)), Announced: 9}, limit)
+	_, release, err := r.Read(io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(io.ErrUnexpectedEOF)), 9, limit, neverInterrupted)
 	release()
 	if !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("error %v", err)
@@ -87,7 +90,7 @@
 	var r bodyreader.BodyReader
 	r.Large.Limit, r.Small.Limit = 600<<10, 100<<10
 	first, second := arrive(&r, 200<<10), arrive(&r, 300<<10)
-	content, release, err := r.Read(bodyreader.Source{Reader: bytes.NewReader(make([]byte, 150<<10)), Announced: 150 << 10}, limit)
+	content, release, err := r.Read(bytes.NewReader(make([]byte, 150<<10)), 150 << 10, limit, neverInterrupted)
 	if err != nil || len(content) != 150<<10 {
 		t.Fatalf("read %d bytes, error %v", len(content), err)
 	}
@@ -114,17 +117,17 @@
 func TestSmallBodiesHaveMemoryOfTheirOwn(t *testing.T) {
 	var r bodyreader.BodyReader
 	r.Large.Limit, r.Small.Limit = 300<<10, 100<<10
-	_, release, err := r.Read(bodyreader.Source{Reader: bytes.NewReader(make([]byte, 150<<10)), Announced: 150 << 10}, limit)
+	_, release, err := r.Read(bytes.NewReader(make([]byte, 150<<10)), 150 << 10, limit, neverInterrupted)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer release()
-	_, second, err := r.Read(bodyreader.Source{Reader: bytes.NewReader(make([]byte, 200<<10)), Announced: 200 << 10}, limit)
+	_, second, err := r.Read(bytes.NewReader(make([]byte, 200<<10)), 200 << 10, limit, neverInterrupted)
 	second()
 	if !errors.Is(err, bodyreader.ErrNoMemory) {
 		t.Errorf("a second large body: error %v", err)
 	}
-	_, third, err := r.Read(bodyreader.Source{Reader: strings.NewReader("ordinary"), Announced: 8}, limit)
+	_, third, err := r.Read(strings.NewReader("ordinary"), 8, limit, neverInterrupted)
 	third()
 	if err != nil {
 		t.Errorf("a small body: error %v", err)
