--- a/vm/bodyreader/bodyreader_test.go
+++ b/vm/bodyreader/bodyreader_test.go
@@ -90,7 +90,7 @@
 	var r bodyreader.BodyReader
 	r.Large.Limit, r.Small.Limit = 600<<10, 100<<10
 	first, second := arrive(&r, 200<<10), arrive(&r, 300<<10)
-	content, release, err := r.Read(bytes.NewReader(make([]byte, 150<<10)), 150 << 10, limit, neverInterrupted)
+	content, release, err := r.Read(bytes.NewReader(make([]byte, 150<<10)), 150<<10, limit, neverInterrupted)
 	if err != nil || len(content) != 150<<10 {
 		t.Fatalf("read %d bytes, error %v", len(content), err)
 	}
@@ -117,12 +117,12 @@
 func TestSmallBodiesHaveMemoryOfTheirOwn(t *testing.T) {
 	var r bodyreader.BodyReader
 	r.Large.Limit, r.Small.Limit = 300<<10, 100<<10
-	_, release, err := r.Read(bytes.NewReader(make([]byte, 150<<10)), 150 << 10, limit, neverInterrupted)
+	_, release, err := r.Read(bytes.NewReader(make([]byte, 150<<10)), 150<<10, limit, neverInterrupted)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer release()
-	_, second, err := r.Read(bytes.NewReader(make([]byte, 200<<10)), 200 << 10, limit, neverInterrupted)
+	_, second, err := r.Read(bytes.NewReader(make([]byte, 200<<10)), 200<<10, limit, neverInterrupted)
 	second()
 	if !errors.Is(err, bodyreader.ErrNoMemory) {
 		t.Errorf("a second large body: error %v", err)
