Incomplete events of streams borrow the memory that they hold, from the lender of whole responses

What callers see: while engines begin events that do not end, the VM that relays them runs out of memory.

Cause: an event that has not ended was held up to 1 MiB by its stream, in memory that grew by copies and stayed until the stream's end; how many streams did so wasn't bounded.

Change: memory for an event beyond 8 KiB (unlentBytes and one read, as a read may complete many small events) is borrowed from the request's loan before the splitter's memory grows to it, and given back, with the memory, once the event was sent or the attempt's stream has ended. A stream that may not borrow fails like one whose event is too large: LimitError "sum of incomplete events held at once"; counted as response_memory_exhausted. What is lent is the size of the memory, not of the event. Ordinary reads cost one comparison before and one after.

--- a/upstream/eventsplitter/eventsplitter.go
+++ b/upstream/eventsplitter/eventsplitter.go
@@ -31,6 +31,16 @@
 // Rest returns the bytes after the last complete event.
 func (s *Splitter) Rest() []byte { return s.pending[s.end:] }
 
+// Held returns the size of the memory that the splitter holds.
+func (s *Splitter) Held() int { return cap(s.pending) }
+
+// Resize moves the bytes after the last complete event to a memory of the given size, which must hold them. The result of Add is no longer valid.
+func (s *Splitter) Resize(size int) {
+	pending := make([]byte, 0, size)
+	s.pending = append(pending, s.Rest()...)
+	s.end = 0
+}
+
 // Skip advances over bytes of the stream without keeping them, and reports whether the stream is inside an event then. A stream is read
 // either by Skip or by Add.
 func (s *Splitter) Skip(p []byte) (inside bool) {
--- a/upstream/eventsplitter/eventsplitter_test.go
+++ b/upstream/eventsplitter/eventsplitter_test.go
@@ -43,6 +43,27 @@
 	}
 }
 
+// The same events come out of a splitter whose memory is resized between reads, and its memory is of that size.
+func TestEventsDoNotDependOnMemory(t *testing.T) {
+	const stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n"
+	var whole eventsplitter.Splitter
+	want, wantRest := string(whole.Add([]byte(stream))), string(whole.Rest())
+	for n := 1; n <= len(stream); n++ {
+		var s eventsplitter.Splitter
+		got := ""
+		for part := range slices.Chunk([]byte(stream), n) {
+			got += string(s.Add(part))
+			size := len(s.Rest()) + 100
+			if s.Resize(size); s.Held() != size {
+				t.Fatalf("%d bytes held, want %d", s.Held(), size)
+			}
+		}
+		if got != want || string(s.Rest()) != wantRest {
+			t.Fatalf("reads of %d bytes: events %q, rest %q", n, got, s.Rest())
+		}
+	}
+}
+
 func FuzzSplitter(f *testing.F) {
 	f.Add([]byte("id: 1\r\n\r\ndata\r\r\n\n"), 4)
 	f.Fuzz(func(t *testing.T, stream []byte, at int) {
--- a/vm/sender/generation.go
+++ b/vm/sender/generation.go
@@ -32,6 +32,7 @@
 // another engine where a failed attempt may be retried.
 func (t *requestTask) serveGeneration(ctx context.Context) error {
 	relay := newStreamRelay(t.out, t.resumed, t.request.Demand, t.recordOrigin, t.useMargin)
+	relay.memory = eventLoan{loan: t.loan, refused: func() error { return t.memoryExhausted("sum of incomplete events held at once") }}
 	var a *attempt
 	for admissions := 0; ; {
 		if a == nil {
--- a/vm/sender/relay.go
+++ b/vm/sender/relay.go
@@ -47,6 +47,7 @@
 	// onHead is called before the head is sent.
 	onHead   func()
 	splitter eventsplitter.Splitter
+	memory   eventLoan
 	order    eventOrder
 	// maxBytes limits the stream of each attempt.
 	maxBytes int64
@@ -106,6 +107,7 @@
 ) error {
 	r.splitter, r.softwareVersion, r.relayedAny = eventsplitter.Splitter{}, softwareVersion, false
 	r.order.restart()
+	defer r.memory.end(&r.splitter)
 	if r.headSent.Load() && !mayBeEventStream(response.Header) {
 		return errNotAnEvent
 	}
@@ -115,6 +117,9 @@
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
+			if memoryErr := r.memory.reserve(&r.splitter, n); memoryErr != nil {
+				return memoryErr
+			}
 			events := r.splitter.Add(buffer[:n])
 			if !receive(!mayBeEventStream(response.Header) || r.isProgress(events)) {
 				return errStalled
@@ -122,6 +127,7 @@
 			if sendErr := r.sendInOrder(response, events); sendErr != nil {
 				return sendErr
 			}
+			r.memory.release(&r.splitter)
 			relayed()
 		}
 		if err == io.EOF {
--- a/vm/sender/sender.go
+++ b/vm/sender/sender.go
@@ -141,7 +141,8 @@
 	Partition partition
 	// Drainer ends what waits and what runs when the VM stops; nil is that of a VM that does not stop.
 	Drainer *drainer.Drainer
-	// Responses lends the bytes of whole responses, beyond the first few of each, until they are sent to their callers; nil sets no bound.
+	// Responses lends the bytes of whole responses and incomplete events, beyond the first few of each, until they are sent to their callers;
+	// nil sets no bound.
 	Responses *bytelender.Lender
 
 	loadFaults loadFaultLog
--- a/vm/sender/task.go
+++ b/vm/sender/task.go
@@ -48,7 +48,7 @@
 	// abandonable means that an attempt may be hedged, so that its response may turn out not to be needed; hedging that the attempt that is
 	// being made is the hedge.
 	abandonable, hedging bool
-	// loan is what the whole responses to the request hold.
+	// loan is what the whole responses to the request and its incomplete events hold.
 	loan *loan
 	// trial means that the request is sent although one of its traits is in quarantine.
 	trial bool
--- a/vm/sender/whole_body.go
+++ b/vm/sender/whole_body.go
@@ -52,8 +52,7 @@
 	for {
 		n := b.nextPart(length)
 		if !b.borrow(t.loan, n) {
-			t.Count("response_memory_exhausted")
-			return &fuchsiaspoke.LimitError{Part: "sum of whole responses held at once", Bytes: t.Responses.Limit}
+			return t.memoryExhausted("sum of whole responses held at once")
 		}
 		err := b.readPart(limiter, n)
 		if err == io.EOF {
