--- a/vm/sender/assignment_test.go
+++ b/vm/sender/assignment_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
@@ -14,10 +15,10 @@
 // review/5: after a restart of all VMs nobody knew at which software version streams had begun. A stream that begins at another version than the
 // one to which it is assigned would be joined with a second one then.
 func TestResumableStreamBeginsAtItsAssignedSoftwareVersion(t *testing.T) {
-	servedBy := ""
+	var lastServedBy atomic.Value
 	serving := func(version string) engine {
 		return func(w http.ResponseWriter, q *http.Request, from int) {
-			servedBy = version
+			lastServedBy.Store(version)
 			soundEngine(w, q, from)
 		}
 	}
@@ -33,10 +34,11 @@
 			ID: fmt.Sprint("r", i), Service: "texts", Arrived: f.Clock(), Deadline: f.Clock() + requestTimeout, Route: f.route,
 			Demand: fuchsiaspoke.Demand{Model: "m", PromptTokens: 100, OutputTokens: 10},
 		}
-		servedBy = ""
+		lastServedBy.Store("")
 		m := fuchsiaspoke.Message{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}}
 		err := f.Serve(context.Background(), req, m, &streamWriter{})
 		want, _ := a.Assign(a.Key(req.Demand, req.ID), f.replicas)
+		servedBy := lastServedBy.Load().(string)
 		var refusal *fuchsiaspoke.Refusal
 		switch {
 		case want == "v3" && (!errors.As(err, &refusal) || refusal.Run != fuchsiaspoke.NotRun || servedBy != ""):
--- a/vm/sender/loan.go
+++ b/vm/sender/loan.go
@@ -6,8 +6,8 @@
 	"github.com/fuchsiaspoke/fuchsiaspoke/vm/bytelender"
 )
 
-// loan is what the whole responses and incomplete events of one request have borrowed. Copies of the request's state share it, as their attempts run at once. A nil
-// loan borrows without a bound.
+// loan is what the whole responses and incomplete events of one request have borrowed. Copies of the request's state share it, as their attempts
+// run at once. A nil loan borrows without a bound.
 type loan struct {
 	lender *bytelender.Lender
 	bytes  atomic.Int64
