--- a/vm/bodyreader/bodyreader_test.go
+++ b/vm/bodyreader/bodyreader_test.go
@@ -60,7 +60,9 @@
 			from      io.Reader
 			announced int
 		}{
-			{bytes.NewReader(want), size}, {bytes.NewReader(want), -1}, {iotest.HalfReader(bytes.NewReader(want)), -1},
+			{bytes.NewReader(want), size},
+			{bytes.NewReader(want), -1},
+			{iotest.HalfReader(bytes.NewReader(want)), -1},
 			{iotest.DataErrReader(bytes.NewReader(want)), size},
 		} {
 			got, release, err := r.Read(form.from, int64(form.announced), limit, neverInterrupted)
