Bodies that end with their connection are whole only if the request's write did not fail

What callers saw: a replica answered a long upload at once with a 200 that had neither a length nor chunks, sent part of the body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once, to the write or to the read. When the write received it, the read found the same end as after a close, and transport.Response took that for the end of the body. Ruled out: bodies with a length or chunks, and requests that were written before the reset, whose read receives it.

Change: at the end of such a body the write's result counts. While it isn't known, the state of the socket tells a close in order from a reset, and the write goes on for 250 ms. The error that ended a body stays, as a second read after a reset found an end as well.

--- a/upstream/transport/conn.go
+++ b/upstream/transport/conn.go
@@ -100,11 +100,7 @@
 	if now.After(c.idleUntil) || c.reader.Buffered() > 0 {
 		return false
 	}
-	syscallConn, ok := c.netConn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rawConn, err := syscallConn.SyscallConn()
+	rawConn, err := c.rawConn()
 	if err != nil {
 		return false
 	}
@@ -117,3 +113,27 @@
 	})
 	return err == nil && noData
 }
+
+// closedByPeer reports whether the replica has ended its side of the connection, which is still open on this side. It is false if the kernel
+// doesn't tell.
+func (c *conn) closedByPeer() bool {
+	rawConn, err := c.rawConn()
+	if err != nil {
+		return false
+	}
+	var closed bool
+	err = rawConn.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
+	})
+	return err == nil && closed
+}
+
+// rawConn returns access to the connection's socket.
+func (c *conn) rawConn() (syscall.RawConn, error) {
+	syscallConn, ok := c.netConn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the connection has no socket")
+	}
+	return syscallConn.SyscallConn()
+}
--- a/upstream/transport/response.go
+++ b/upstream/transport/response.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/pkg/errors"
 )
 
 // Response is a replica's response to one message. Read it to io.EOF and close it, so that its connection can be reused.
@@ -19,26 +21,49 @@
 	conn            *conn
 	address         string
 	response        *http.Response
-	writeResult     chan error
+	write           *write
 	stopCancelWatch func() bool
 	// foreignResponseRead reports that a response to another request was received on the connection, which is then not reused.
 	foreignResponseRead bool
 	use                 fuchsiaspoke.ConnectionUse
-	bodyComplete        bool
+	// bodyErr is the error that ended the body, io.EOF if the body is complete. The connection would give a later read another one.
+	bodyErr error
 }
 
-// Read reads the response body. It returns io.EOF only after the complete body; a truncated body gives another error.
+// Read reads the response body. It returns io.EOF only after the complete body; a truncated body gives another error, also to further reads.
 func (r *Response) Read(p []byte) (int, error) {
+	if r.bodyErr != nil {
+		return 0, r.bodyErr
+	}
 	n, err := r.response.Body.Read(p)
 	if n > 0 {
 		r.transport.reached()
 	}
 	if err == io.EOF {
-		r.bodyComplete = true
+		err = cmp.Or(r.confirmEnd(), io.EOF)
 	}
+	r.bodyErr = err
 	return n, err
 }
 
+// confirmEnd returns an error if a body that ends with its connection was broken off. A reset while the request is being written is reported to
+// the write or to the read; if the write has received it, the read finds the same end as after a close.
+func (r *Response) confirmEnd() error {
+	if r.Framing() != fuchsiaspoke.FramedByConnection {
+		return nil
+	}
+	var settled <-chan time.Time
+	if r.conn.closedByPeer() {
+		settled = time.After(closeSettleTime)
+	}
+	select {
+	case <-r.write.done:
+		return errors.Wrap(r.write.err, "the connection failed before the end of the body: write request")
+	case <-settled:
+		return nil
+	}
+}
+
 // Length returns the announced length of the body, or -1 if there is none.
 func (r *Response) Length() int64 {
 	if r.response.Body == http.NoBody {
@@ -93,6 +118,10 @@
 	}
 }
 
+// closeSettleTime is how long the rest of a request is still written after the replica has ended its side of the connection. A reset within that
+// time means that it no longer reads, and may have broken off its response.
+const closeSettleTime = 250 * time.Millisecond
+
 // writeReportTimeout bounds the wait for the result of a write whose response is complete. On a busy machine a short exchange can be over
 // before the goroutine that wrote the request has reported it.
 const writeReportTimeout = 5 * time.Millisecond
@@ -101,15 +130,15 @@
 // read completely, its end is given by Content-Length or chunked encoding, it names its request, the replica keeps the connection
 // open, no bytes besides this response were received, and the connection may carry others beside its message.
 func (r *Response) reusable() bool {
-	if !r.conn.mayCarryMore() || !r.bodyComplete || r.foreignResponseRead || !r.use.Named || r.response == nil || r.response.Close || r.conn.reader.Buffered() > 0 {
+	if !r.conn.mayCarryMore() || r.bodyErr != io.EOF || r.foreignResponseRead || !r.use.Named || r.response == nil || r.response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if r.Framing() == fuchsiaspoke.FramedByConnection {
 		return false
 	}
 	select {
-	case err := <-r.writeResult:
-		return err == nil
+	case <-r.write.done:
+		return r.write.err == nil
 	case <-time.After(writeReportTimeout):
 		return false
 	}
--- a/upstream/transport/transport.go
+++ b/upstream/transport/transport.go
@@ -272,19 +272,12 @@
 	return net.Buffers{b.Bytes()}
 }
 
-// exchange writes the message and reads response heads until that of the message's own response. The write runs in a goroutine,
-// since the replica may respond before it has read the whole message.
+// exchange starts the write of the message and reads response heads until that of the message's own response.
 func (r *Response) exchange(m fuchsiaspoke.Message, match func(http.Header) fuchsiaspoke.ResponseMatch) error {
 	r.transport.expect()
 	r.use = fuchsiaspoke.ConnectionUse{Number: r.conn.number, Before: r.conn.requests}
 	r.conn.record(m)
-	written := make(chan error, 1)
-	encoded := encode(m)
-	go func() {
-		_, err := encoded.WriteTo(r.conn.netConn)
-		written <- err
-	}()
-	r.writeResult = written
+	r.write = startWrite(r.conn.netConn, encode(m))
 	for range maxForeignResponses + 1 {
 		response, err := r.conn.readHead(m.Method) //nolint:bodyclose // the body is closed with the connection, which Response owns
 		if err != nil {
--- a/vm/sender/hedge_test.go
+++ b/vm/sender/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -20,6 +21,10 @@
 	// load is what the replicas state, and pause how long the first one takes.
 	load  string
 	pause atomic.Int64
+	// resetsHedges makes the second replica of a request reset the connection in its response.
+	resetsHedges atomic.Bool
+	// upload is the body of the requests.
+	upload []byte
 	// connections is the number of connections that the replicas have accepted, and runs that of requests by target.
 	connections atomic.Int64
 	mu          sync.Mutex
@@ -27,10 +32,10 @@
 	events      map[string]int
 }
 
-func newHedgedFleet(t *testing.T, maxAttempts int, load string) *hedgedFleet {
+func newHedgedFleet(t *testing.T, load string) *hedgedFleet {
 	t.Helper()
 	h := &hedgedFleet{load: load, runs: map[string]int{}, events: map[string]int{}}
-	h.takeover = newPlainFleet(t, maxAttempts, soundEngine, soundEngine, soundEngine)
+	h.takeover = newPlainFleet(t, 2, soundEngine, soundEngine, soundEngine)
 	published := h.Published()
 	for i, r := range h.replicas {
 		s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { h.answer(w, q, i == 0) }))
@@ -56,7 +61,13 @@
 func (h *hedgedFleet) answer(w http.ResponseWriter, q *http.Request, first bool) {
 	h.mu.Lock()
 	h.runs[q.URL.String()]++
+	run := h.runs[q.URL.String()]
 	h.mu.Unlock()
+	if run > 1 && h.resetsHedges.Load() {
+		resetInResponse(w)
+		return
+	}
+	_, _ = io.Copy(io.Discard, q.Body)
 	time.Sleep(5 * time.Millisecond)
 	if first {
 		time.Sleep(time.Duration(h.pause.Load()))
@@ -65,13 +76,29 @@
 	_, _ = fmt.Fprint(w, "done ", q.URL.String())
 }
 
+// resetInResponse sends a part of a response that has neither a length nor chunks, and resets the connection.
+func resetInResponse(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+	time.Sleep(30 * time.Millisecond)
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
 // request sends one request and returns how long it took. It fails the test unless the response is whole and that of the request.
 func (h *hedgedFleet) request(t *testing.T, target string) time.Duration {
 	t.Helper()
 	began := h.Clock()
 	req := fuchsiaspoke.AdmittedRequest{ID: target, Service: "texts", Arrived: began, Deadline: began + requestTimeout, Route: h.route}
 	out := &streamWriter{}
-	err := h.Serve(context.Background(), req, fuchsiaspoke.Message{Method: http.MethodGet, Target: target, Host: "h", Header: http.Header{}}, out)
+	m := fuchsiaspoke.Message{Method: http.MethodGet, Target: target, Host: "h", Header: http.Header{}}
+	if h.upload != nil {
+		m.Method, m.Body = http.MethodPost, h.upload
+	}
+	err := h.Serve(context.Background(), req, m, out)
 	if err != nil || out.body.String() != "done "+target {
 		t.Errorf("request %s: error %v, body %q", target, err, out.body.String())
 	}
@@ -123,7 +150,7 @@
 // A replica slows down under a request. Another one answers it, each caller gets the response to its own request although late ones follow on
 // connections that are used again, and no connection is opened for it.
 func TestRequestOnSlowedReplicaIsHedged(t *testing.T) {
-	h := newHedgedFleet(t, 2, "1,0,6,100")
+	h := newHedgedFleet(t, "1,0,6,100")
 	const pause = 300 * time.Millisecond
 	h.route.Objective = 200 * time.Millisecond
 	h.warmUp(t)
@@ -145,6 +172,22 @@
 	}
 }
 
+// The part of a hedge's response before a reset was taken for the whole response to a long upload.
+func TestHedgeResetDuringUploadIsNotTheResponse(t *testing.T) {
+	h := newHedgedFleet(t, "1,0,6,100")
+	h.route.Objective = 200 * time.Millisecond
+	h.warmUp(t)
+	h.pause.Store(int64(300 * time.Millisecond))
+	h.resetsHedges.Store(true)
+	h.upload = make([]byte, 8<<20)
+	for n := 0; n < 60 && h.ranTwice() == 0; n++ {
+		h.request(t, fmt.Sprint("/upload/", n))
+	}
+	if h.ranTwice() == 0 {
+		t.Errorf("events %v, want a hedge that arrives", h.events)
+	}
+}
+
 // What may not run twice, is out of attempts or of budget, or goes to replicas that state no factor, runs once.
 func TestRequestIsNotHedgedWhereThatIsNotAllowed(t *testing.T) {
 	for _, c := range []struct {
@@ -159,7 +202,7 @@
 		{"three figures", "1,0,6", func(*hedgedFleet) {}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			h := newHedgedFleet(t, 2, c.load)
+			h := newHedgedFleet(t, c.load)
 			h.route.Objective = time.Second
 			h.warmUp(t)
 			c.change(h)
--- a/vm/sender/loan_test.go
+++ b/vm/sender/loan_test.go
@@ -206,7 +206,7 @@
 
 // Of a request and its hedge, either of which may end first, nothing stays lent.
 func TestWholeResponsesOfHedgedRequestsAreGivenBack(t *testing.T) {
-	h := newHedgedFleet(t, 2, "1,0,6,100")
+	h := newHedgedFleet(t, "1,0,6,100")
 	h.route.Objective = 200 * time.Millisecond
 	h.Responses = &bytelender.Lender{Limit: lentLimit}
 	h.warmUp(t)
