A response has a status from 200 to 599, whoever reads it

The own API believed a "not run" under 000 or 600 and passed 600 and 999 on. A head from another VM was not checked.

Cause: upstream/transport skipped each head below 200 as informational and read what followed as the next head; nobody checked the upper end. Ruled out: the invoker rejected 000 before; the store and the configuration service believe 200 alone.

Change: fuchsiaspoke.ResponseHead says which heads a final response may have; the transport, the own API's two clients and the delegator ask it. 101 is not informational here, as no request asks for another protocol.

--- /dev/null
+++ b/upstream/driver/broken_head_test.go
@@ -0,0 +1,63 @@
+package driver_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/driver"
+)
+
+// answerAll answers each request with a text until the listener is closed.
+func answerAll(listener net.Listener, text string) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			if _, err := c.Read(make([]byte, 64<<10)); err == nil {
+				_, _ = io.WriteString(c, text)
+			}
+		}()
+	}
+}
+
+// expectNotBelieved runs a generation whose engine answers everything with a text, and fails the test if it succeeds, or counts as not run.
+func expectNotBelieved(t *testing.T, text string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go answerAll(listener, text)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	d := &driver.Driver{
+		Client: &http.Client{Transport: transport}, Upstream: fuchsiaspoke.Upstream{ID: "e", Address: listener.Addr().String()},
+		ProgressTimeout: 300 * time.Millisecond,
+	}
+	g := fuchsiaspoke.Generation{RequestID: "g", Adapter: adapter, MaxOutputTokens: 9, Body: []byte(`{"prompt":"x"}`)}
+	err = d.Generate(t.Context(), g, func(fuchsiaspoke.Chunk) error { return nil })
+	var refusal *fuchsiaspoke.Refusal
+	if !errors.As(err, &refusal) || refusal.Run == fuchsiaspoke.NotRun {
+		t.Errorf("answered with %q: error %v, want one that leaves open whether it ran", text, err)
+	}
+}
+
+// notRunBody is what an engine sends that does not run a request.
+var notRunBody = `{"error":{"code":"overloaded","message":"full","run":"` + string(fuchsiaspoke.NotRun) + `"}}`
+
+// An engine in trouble sent a status that HTTP does not have, and its body was believed: the generation counted as not run.
+func TestStatusOutsideOfHTTPIsNoRefusal(t *testing.T) {
+	for _, status := range []string{"000", "099", "600"} {
+		expectNotBelieved(t, fmt.Sprintf("HTTP/1.1 %s Odd\r\nContent-Length: %d\r\n\r\n%s", status, len(notRunBody), notRunBody))
+	}
+}
--- a/upstream/driver/driver.go
+++ b/upstream/driver/driver.go
@@ -209,7 +209,7 @@
 		req.Header.Set("X-Request-Id", requestID)
 	}
 	if body == nil {
-		return client.Do(req)
+		return do(client, req, sent)
 	}
 	encoded, err := json.Marshal(body)
 	if err != nil {
@@ -225,7 +225,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.Do(req)
+	return do(client, req, sent)
+}
+
+// do sends a request and returns the response. One with a faulty head is an error, and sets sent: the body may still be being written.
+func do(client *http.Client, req *http.Request, sent *atomic.Bool) (*http.Response, error) {
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if fault := (fuchsiaspoke.ResponseHead{Status: resp.StatusCode, Header: resp.Header}).Fault(); fault != nil {
+		sent.Store(true)
+		resp.Body.Close()
+		return nil, fault
+	}
+	return resp, nil
 }
 
 // checkFor returns the check to run before the body is written; claims, resumes and cancels start no work and need
--- /dev/null
+++ b/upstream/invoker/broken_head_test.go
@@ -0,0 +1,49 @@
+package invoker_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/fuchsiaspoke/fuchsiaspoke"
+	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/invoker"
+)
+
+// expectNoReply sends calls, with an idempotency key and without one, to a service that answers with a text, and fails the test unless their outcome
+// is unknown.
+func expectNoReply(t *testing.T, text string) {
+	t.Helper()
+	for _, key := range []string{"", "key"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_, _ = c.Read(make([]byte, 64<<10))
+			_, _ = io.WriteString(c, text)
+		}()
+		c := &invoker.Invoker{Address: listener.Addr().String()}
+		call := fuchsiaspoke.Call{Method: http.MethodPost, Path: "/pay", RequestID: "a", Body: []byte("x"), IdempotencyKey: key}
+		reply, err := c.Send(t.Context(), call, nil)
+		var refusal *fuchsiaspoke.Refusal
+		if !errors.As(err, &refusal) || refusal.Run != fuchsiaspoke.RunUnknown {
+			t.Errorf("answered with %q, key %q: reply %+v, error %v, want an unknown outcome", text, key, reply, err)
+		}
+		c.Close()
+		listener.Close()
+	}
+}
+
+// A status that HTTP does not have reached the caller.
+func TestResponseWithStatusOutsideOfHTTPIsNoReply(t *testing.T) {
+	for _, status := range []string{"000", "101", "600", "999"} {
+		expectNoReply(t, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
--- a/upstream/invoker/invoker.go
+++ b/upstream/invoker/invoker.go
@@ -151,10 +151,10 @@
 	return fuchsiaspoke.Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// validateHead rejects responses that belong to another call, are encoded, or could be truncated without notice.
+// validateHead rejects responses with a faulty head, and those that belong to another call, are encoded, or could be truncated without notice.
 func validateHead(resp *http.Response, call fuchsiaspoke.Call) error {
-	if resp.StatusCode < http.StatusOK {
-		return errors.Errorf("unexpected response status %d", resp.StatusCode)
+	if fault := (fuchsiaspoke.ResponseHead{Status: resp.StatusCode, Header: resp.Header}).Fault(); fault != nil {
+		return fault
 	}
 	if id := resp.Header.Get(headerRequestID); id != "" && id != call.RequestID {
 		return errors.Errorf("response belongs to request %q", id)
--- a/upstream/transport/conn.go
+++ b/upstream/transport/conn.go
@@ -38,7 +38,7 @@
 	return &conn{netConn: netConn, number: number, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
-// readHead reads the next response head, and skips informational (1xx) ones, which count towards its limit.
+// readHead reads the next response head, and skips informational ones, which count towards its limit.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	defer c.limiter.Unlimit()
 	c.limiter.Limit("response head", maxHeadBytes)
@@ -47,12 +47,21 @@
 		if err != nil {
 			return nil, errors.Wrap(c.limiter.Cause(err), "read response head")
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if isInformational(response.StatusCode) {
+			continue
 		}
+		if fault := (fuchsiaspoke.ResponseHead{Status: response.StatusCode, Header: response.Header}).Fault(); fault != nil {
+			return nil, errors.Wrap(fault, "read response head")
+		}
+		return response, nil
 	}
 }
 
+// isInformational reports whether the final response follows one with the status. None follows 101, and no request asks for another protocol.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // discard reads a body to its end, which comes within maxDiscardBytes and discardTimeout.
 func (c *conn) discard(body io.Reader) error {
 	if err := c.netConn.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
--- a/upstream/transport/head_test.go
+++ b/upstream/transport/head_test.go
@@ -32,6 +32,8 @@
 		{"HTTP/1.1 200 OK\r\n", "X-More: more\r\n"},
 		{"HTTP/1.1 200 OK\r\nX-More: a\r\n", " more\r\n"},
 		{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"", "HTTP/1.1 000 Odd\r\n\r\n"},
+		{"HTTP/1.1 101 Odd\r\n\r\n", "HTTP/1.1 600 Odd\r\n\r\n"},
 		{"HTTP/1.1 103 Early Hints\r\n", "Link: </a>\r\n\r\nHTTP/1.1 103 Early Hints\r\n"},
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1;a=b\r\nx\r\n"},
 		{"", "\r\n"},
@@ -47,7 +49,7 @@
 		limiter := &bytelimiter.Limiter{Reader: endless}
 		c := &conn{limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 		response, err := c.readHead(http.MethodGet) //nolint:bodyclose // the body is never read; there is no connection
-		if err == nil && response.StatusCode < http.StatusOK {
+		if err == nil && (response.StatusCode < http.StatusOK || response.StatusCode > 599) {
 			t.Errorf("status %d is no response", response.StatusCode)
 		}
 		if endless.taken > maxHeadBytes+1 {
--- a/vm/delegator/delegator.go
+++ b/vm/delegator/delegator.go
@@ -299,6 +299,9 @@
 		if r.begun {
 			return errors.New("the response has a second head")
 		}
+		if fault := (fuchsiaspoke.ResponseHead{Status: part.Head.Status, Header: part.Head.Header}).Fault(); fault != nil {
+			return fault
+		}
 		r.begun = true
 		r.onBegin()
 		r.out.Head(part.Head.Status, part.Head.Header, part.Head.Length)
