Response heads are read line by line, and names of fields are tokens

Orders, reports, the own API and the store took such heads as sound.

Cause: net/textproto accepts blanks in names and joins folded lines; net/http's server drops the names when they are passed on, so that nothing showed. Ruled out: control bytes, tabs inside names and empty names are errors there.

Change: upstream/transport checks each line of a head before it parses the same bytes, and fails at the first one that is neither a status line nor a field. Bytes that are read once more count as unread where a connection is reused.

The form "continued header line" of TestEndlessHeadIsGivenUpAtItsLimit expected the limit's error; such a line now ends the exchange at its first continuation. It is a test of its own with the same bounds of bytes and time, and the reason.

--- a/configuration/poller/poller.go
+++ b/configuration/poller/poller.go
@@ -76,6 +76,9 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if fault := (fuchsiaspoke.ResponseHead{Status: resp.StatusCode, Header: resp.Header}).Fault(); fault != nil {
+		return errors.Wrapf(fault, "configuration service %s", p.URL)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("configuration service %s returned status %s", p.URL, resp.Status)
 	}
--- a/response_head.go
+++ b/response_head.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // minFinalStatus and maxStatus are the least and the largest status of a response that is not informational.
@@ -23,5 +24,10 @@
 	if h.Status < minFinalStatus || h.Status > maxStatus {
 		return errors.Errorf("status %03d is none of a response", h.Status)
 	}
+	for name := range h.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("field name %.80q is none of a header", name)
+		}
+	}
 	return nil
 }
--- a/upstream/driver/broken_head_test.go
+++ b/upstream/driver/broken_head_test.go
@@ -55,6 +55,13 @@
 // notRunBody is what an engine sends that does not run a request.
 var notRunBody = `{"error":{"code":"overloaded","message":"full","run":"` + string(fuchsiaspoke.NotRun) + `"}}`
 
+// An engine sent a head with a blank in the name of a field, and its body was believed.
+func TestHeadWithOddFieldNameIsNoRefusal(t *testing.T) {
+	for _, line := range []string{"X-Odd Name: odd", "X-Odd : odd", "X-Odd\t: odd", "X-\x00Odd: odd"} {
+		expectNotBelieved(t, fmt.Sprintf("HTTP/1.1 503 Odd\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(notRunBody), notRunBody))
+	}
+}
+
 // An engine in trouble sent a status that HTTP does not have, and its body was believed: the generation counted as not run.
 func TestStatusOutsideOfHTTPIsNoRefusal(t *testing.T) {
 	for _, status := range []string{"000", "099", "600"} {
--- a/upstream/invoker/broken_head_test.go
+++ b/upstream/invoker/broken_head_test.go
@@ -41,6 +41,14 @@
 	}
 }
 
+// A head with a blank in the name of a field was accepted.
+func TestResponseWithOddFieldNameIsNoReply(t *testing.T) {
+	for _, line := range []string{"X-Odd Name: odd", "X-Odd : odd", "Content-Encoding : gzip", "X-Odd\t: odd", "X-\x00Odd: odd"} {
+		expectNoReply(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 2\r\n\r\nok")
+	}
+	expectNoReply(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+}
+
 // A status that HTTP does not have reached the caller.
 func TestResponseWithStatusOutsideOfHTTPIsNoReply(t *testing.T) {
 	for _, status := range []string{"000", "101", "600", "999"} {
--- a/upstream/transport/conn.go
+++ b/upstream/transport/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -27,8 +28,10 @@
 	carried []uint64
 	alone   bool
 	// limiter bounds what reader reads from netConn.
-	limiter   *bytelimiter.Limiter
-	reader    *bufio.Reader
+	limiter *bytelimiter.Limiter
+	reader  *bufio.Reader
+	// again holds received bytes that reader reads once more.
+	again     bytes.Buffer
 	idleUntil time.Time
 	closeOnce sync.Once
 }
@@ -38,30 +41,6 @@
 	return &conn{netConn: netConn, number: number, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
-// readHead reads the next response head, and skips informational ones, which count towards its limit.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	defer c.limiter.Unlimit()
-	c.limiter.Limit("response head", maxHeadBytes)
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, errors.Wrap(c.limiter.Cause(err), "read response head")
-		}
-		if isInformational(response.StatusCode) {
-			continue
-		}
-		if fault := (fuchsiaspoke.ResponseHead{Status: response.StatusCode, Header: response.Header}).Fault(); fault != nil {
-			return nil, errors.Wrap(fault, "read response head")
-		}
-		return response, nil
-	}
-}
-
-// isInformational reports whether the final response follows one with the status. None follows 101, and no request asks for another protocol.
-func isInformational(status int) bool {
-	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
-}
-
 // discard reads a body to its end, which comes within maxDiscardBytes and discardTimeout.
 func (c *conn) discard(body io.Reader) error {
 	if err := c.netConn.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
@@ -103,10 +82,13 @@
 	c.closeOnce.Do(func() { _ = c.netConn.Close() })
 }
 
+// buffered returns the number of bytes that were received and not yet read.
+func (c *conn) buffered() int { return c.reader.Buffered() + c.again.Len() }
+
 // usable reports whether the idle connection may carry a request: its idle lifetime has not expired,
 // the replica has not closed it, and no unsolicited bytes were received.
 func (c *conn) usable(now time.Time) bool {
-	if now.After(c.idleUntil) || c.reader.Buffered() > 0 {
+	if now.After(c.idleUntil) || c.buffered() > 0 {
 		return false
 	}
 	rawConn, err := c.rawConn()
--- a/upstream/transport/response.go
+++ b/upstream/transport/response.go
@@ -130,7 +130,7 @@
 // read completely, its end is given by Content-Length or chunked encoding, it names its request, the replica keeps the connection
 // open, no bytes besides this response were received, and the connection may carry others beside its message.
 func (r *Response) reusable() bool {
-	if !r.conn.mayCarryMore() || r.bodyErr != io.EOF || r.foreignResponseRead || !r.use.Named || r.response == nil || r.response.Close || r.conn.reader.Buffered() > 0 {
+	if !r.conn.mayCarryMore() || r.bodyErr != io.EOF || r.foreignResponseRead || !r.use.Named || r.response == nil || r.response.Close || r.conn.buffered() > 0 {
 		return false
 	}
 	if r.Framing() == fuchsiaspoke.FramedByConnection {
--- a/upstream/transport/transport_test.go
+++ b/upstream/transport/transport_test.go
@@ -85,12 +85,20 @@
 		"no response at all":         {Part: "\x00\xff garbage "},
 		"header line without an end": {Start: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ", Part: "a"},
 		"header lines without end":   {Start: "HTTP/1.1 200 OK\r\n", Part: "X-More: more\r\n"},
-		"continued header line":      {Start: "HTTP/1.1 200 OK\r\nX-More: a\r\n", Part: " more\r\n"},
 	} {
 		t.Run(name, endlessReplica{r}.expectHeadLimit)
 	}
 }
 
+// A header line that is continued without end is malformed from its first continuation on.
+func TestEndlessContinuedHeaderLineIsGivenUp(t *testing.T) {
+	r := endlessReplica{&endless.Endless{Start: "HTTP/1.1 200 OK\r\nX-More: a\r\n", Part: " more\r\n"}}
+	r.expectGivenUp(t)
+	if _, err := r.exchange(t); err == nil || !strings.Contains(err.Error(), "malformed header line") {
+		t.Errorf("error %v, want one about the line", err)
+	}
+}
+
 func TestEndlessInformationalResponsesAreGivenUpAtTheHeadsLimit(t *testing.T) {
 	for name, r := range map[string]*endless.Endless{
 		"continue":    {Part: "HTTP/1.1 100 Continue\r\n\r\n"},
--- a/vm/delegator/broken_head_test.go
+++ b/vm/delegator/broken_head_test.go
@@ -15,6 +15,13 @@
 	}
 }
 
+// A VM of an earlier build passed on a head with a blank in the name of a field.
+func TestDelegatedHeadWithOddFieldNameIsNotRelayed(t *testing.T) {
+	for _, name := range []string{"X-Odd Name", "Content-Length ", " X-Odd", ""} {
+		expectHeadNotRelayed(t, fuchsiaspoke.DelegatedHead{Status: http.StatusOK, Header: http.Header{name: {"odd"}}, Length: 2})
+	}
+}
+
 // expectHeadNotRelayed fails the test if a head that another VM sends reaches the caller.
 func expectHeadNotRelayed(t *testing.T, head fuchsiaspoke.DelegatedHead) {
 	t.Helper()
