Heads of HTTP/1.0 have no chunks, and those of other versions are no responses

What callers saw (a test of ours, found while the leniences of the standard reader were listed): "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked" gave a 200 whose body is the chunks' framing, to requests of all four kinds, as in the case of "Transfer-Encoding : chunked"; HTTP/2.0 in a status line passed.

Cause: http.ReadResponse ignores that field below HTTP/1.1, and takes any version of two digits.

Change: the transport's check of lines rejects the field in a head of HTTP/1.0, and versions other than 1.0 and 1.1. A sound head of HTTP/1.0 passes.

--- a/upstream/transport/head.go
+++ b/upstream/transport/head.go
@@ -13,6 +13,9 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// protocolWithoutChunks is the version of HTTP whose bodies have a length or end with their connection.
+const protocolWithoutChunks = "HTTP/1.0"
+
 // readHead reads the next response head, and skips informational ones, which count towards its limit.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	defer c.limiter.Unlimit()
@@ -54,6 +57,7 @@
 // readHeadLines reads a head with its empty line, up to the first line that no head has.
 func (c *conn) readHeadLines() ([]byte, error) {
 	var head []byte
+	mayBeChunked := false
 	for start := 0; ; {
 		part, err := c.reader.ReadSlice('\n')
 		head = append(head, part...)
@@ -66,11 +70,12 @@
 		line := strings.TrimSuffix(strings.TrimSuffix(string(head[start:]), "\n"), "\r")
 		switch {
 		case start == 0:
+			mayBeChunked = !strings.HasPrefix(line, protocolWithoutChunks)
 			err = statusLineFault(line)
 		case line == "":
 			return head, nil
 		default:
-			err = fieldFault(line)
+			err = fieldFault(line, mayBeChunked)
 		}
 		if err != nil {
 			return nil, err
@@ -92,16 +97,20 @@
 func statusLineFault(line string) error {
 	protocol, rest, _ := strings.Cut(line, " ")
 	status, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	_, _, known := http.ParseHTTPVersion(protocol)
-	if _, err := strconv.ParseUint(status, 10, 16); !known || len(status) != 3 || err != nil {
+	major, _, known := http.ParseHTTPVersion(protocol)
+	if _, err := strconv.ParseUint(status, 10, 16); !known || major != 1 || len(status) != 3 || err != nil {
 		return errors.Errorf("malformed status line %.80q", line)
 	}
 	return nil
 }
 
-// fieldFault returns why a line is not a field of a header; nil if it is.
-func fieldFault(line string) error {
+// fieldFault returns why a line is not a field of a header; nil if it is. A version without chunks has no field for them, which http.ReadResponse
+// would ignore.
+func fieldFault(line string, mayBeChunked bool) error {
 	name, value, found := strings.Cut(line, ":")
+	if !mayBeChunked && strings.EqualFold(name, "Transfer-Encoding") {
+		return errors.Errorf("%s in a response of %s", name, protocolWithoutChunks)
+	}
 	if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
 		return errors.Errorf("malformed header line %.80q", line)
 	}
--- a/upstream/transport/reset_test.go
+++ b/upstream/transport/reset_test.go
@@ -95,8 +95,10 @@
 
 // A reset after a request was written is received by the read.
 func TestResetAfterRequestIsNoEndOfBody(t *testing.T) {
-	if body, err := (earlyReplica{end: resetConn, rest: nothing}).exchange(t, 1000); err == nil {
-		t.Errorf("body %q without an error", body)
+	for _, bodyBytes := range []int{1000, 600 << 10} {
+		if body, err := (earlyReplica{end: resetConn, rest: nothing}).exchange(t, bodyBytes); err == nil {
+			t.Errorf("request of %d bytes: body %q without an error", bodyBytes, body)
+		}
 	}
 }
 
