--- a/upstream/driver/broken_head_test.go
+++ b/upstream/driver/broken_head_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,22 +30,53 @@
 	}
 }
 
+// resetInAnswer answers each request with a text before it has read the request's body, and resets the connection.
+func resetInAnswer(listener net.Listener, text string) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			_, _ = c.Read(make([]byte, 100))
+			_, _ = io.WriteString(c, text)
+			time.Sleep(30 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}()
+	}
+}
+
+// A stream that is reset while the generation is being written has no finishing chunk, and is not whole.
+func TestStreamResetDuringUploadIsNotWhole(t *testing.T) {
+	const event = `data: {"request_id":"g","index":0,"text":"x","tokens":1,"adapter":{"name":"violin","version":3}}` + "\n\n"
+	for _, text := range []string{"", event, event[:20]} {
+		expectFailure(t, resetInAnswer, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+text, strings.Repeat("x", 8<<20))
+	}
+}
+
 // expectNotBelieved runs a generation whose engine answers everything with a text, and fails the test if it succeeds, or counts as not run.
 func expectNotBelieved(t *testing.T, text string) {
+	t.Helper()
+	expectFailure(t, answerAll, text, "x")
+}
+
+// expectFailure runs a generation whose engine answers with a text, and fails the test if it succeeds, or counts as not run.
+func expectFailure(t *testing.T, answer func(net.Listener, string), text, prompt string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	go answerAll(listener, text)
+	go answer(listener, text)
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
 	d := &driver.Driver{
 		Client: &http.Client{Transport: transport}, Upstream: fuchsiaspoke.Upstream{ID: "e", Address: listener.Addr().String()},
 		ProgressTimeout: 300 * time.Millisecond,
 	}
-	g := fuchsiaspoke.Generation{RequestID: "g", Adapter: adapter, MaxOutputTokens: 9, Body: []byte(`{"prompt":"x"}`)}
+	g := fuchsiaspoke.Generation{RequestID: "g", Adapter: adapter, MaxOutputTokens: 9, Body: []byte(`{"prompt":"` + prompt + `"}`)}
 	err = d.Generate(t.Context(), g, func(fuchsiaspoke.Chunk) error { return nil })
 	var refusal *fuchsiaspoke.Refusal
 	if !errors.As(err, &refusal) || refusal.Run == fuchsiaspoke.NotRun {
--- a/upstream/invoker/broken_head_test.go
+++ b/upstream/invoker/broken_head_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/fuchsiaspoke/fuchsiaspoke"
 	"github.com/fuchsiaspoke/fuchsiaspoke/upstream/invoker"
@@ -14,6 +15,19 @@
 // expectNoReply sends calls, with an idempotency key and without one, to a service that answers with a text, and fails the test unless their outcome
 // is unknown.
 func expectNoReply(t *testing.T, text string) {
+	t.Helper()
+	expectNoReplyTo(t, []byte("x"), text)
+}
+
+// A body with neither a length nor chunks is no reply, also if it is reset while the call is being written.
+func TestReplyResetDuringUploadIsNoReply(t *testing.T) {
+	for _, text := range []string{"", "part of the body"} {
+		expectNoReplyTo(t, make([]byte, 8<<20), "HTTP/1.1 200 OK\r\n\r\n"+text)
+	}
+}
+
+// expectNoReplyTo is expectNoReply for calls with a body, which is not read before the answer if it is long; the connection is reset then.
+func expectNoReplyTo(t *testing.T, body []byte, text string) {
 	t.Helper()
 	for _, key := range []string{"", "key"} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -28,9 +42,10 @@
 			defer c.Close()
 			_, _ = c.Read(make([]byte, 64<<10))
 			_, _ = io.WriteString(c, text)
+			time.Sleep(30 * time.Millisecond)
 		}()
 		c := &invoker.Invoker{Address: listener.Addr().String()}
-		call := fuchsiaspoke.Call{Method: http.MethodPost, Path: "/pay", RequestID: "a", Body: []byte("x"), IdempotencyKey: key}
+		call := fuchsiaspoke.Call{Method: http.MethodPost, Path: "/pay", RequestID: "a", Body: body, IdempotencyKey: key}
 		reply, err := c.Send(t.Context(), call, nil)
 		var refusal *fuchsiaspoke.Refusal
 		if !errors.As(err, &refusal) || refusal.Run != fuchsiaspoke.RunUnknown {
