--- a/upstream/driver/broken_head_test.go
+++ b/upstream/driver/broken_head_test.go
@@ -47,22 +47,26 @@
 	}
 }
 
+// uploadProgressTimeout leaves time to encode a long prompt on a busy machine: a generation that ends before it was sent counts as not run.
+const uploadProgressTimeout = 20 * time.Second
+
 // A stream that is reset while the generation is being written has no finishing chunk, and is not whole.
 func TestStreamResetDuringUploadIsNotWhole(t *testing.T) {
 	const event = `data: {"request_id":"g","index":0,"text":"x","tokens":1,"adapter":{"name":"violin","version":3}}` + "\n\n"
 	for _, text := range []string{"", event, event[:20]} {
-		expectFailure(t, resetInAnswer, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+text, strings.Repeat("x", 8<<20))
+		answer := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + text
+		expectFailure(t, resetInAnswer, answer, strings.Repeat("x", 8<<20), uploadProgressTimeout)
 	}
 }
 
 // expectNotBelieved runs a generation whose engine answers everything with a text, and fails the test if it succeeds, or counts as not run.
 func expectNotBelieved(t *testing.T, text string) {
 	t.Helper()
-	expectFailure(t, answerAll, text, "x")
+	expectFailure(t, answerAll, text, "x", 300*time.Millisecond)
 }
 
 // expectFailure runs a generation whose engine answers with a text, and fails the test if it succeeds, or counts as not run.
-func expectFailure(t *testing.T, answer func(net.Listener, string), text, prompt string) {
+func expectFailure(t *testing.T, answer func(net.Listener, string), text, prompt string, progress time.Duration) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -74,7 +78,7 @@
 	defer transport.CloseIdleConnections()
 	d := &driver.Driver{
 		Client: &http.Client{Transport: transport}, Upstream: fuchsiaspoke.Upstream{ID: "e", Address: listener.Addr().String()},
-		ProgressTimeout: 300 * time.Millisecond,
+		ProgressTimeout: progress,
 	}
 	g := fuchsiaspoke.Generation{RequestID: "g", Adapter: adapter, MaxOutputTokens: 9, Body: []byte(`{"prompt":"` + prompt + `"}`)}
 	err = d.Generate(t.Context(), g, func(fuchsiaspoke.Chunk) error { return nil })
