--- a/review/trial3/brittle_stop.go
+++ b/review/trial3/brittle_stop.go
@@ -76,7 +76,7 @@
 // tenth of their number.
 func brittleStop(t *trial) (bool, error) {
 	var all []*brittleness
-	engines, err := t.startReplicas(textService, brittleCount, func(r *replica) {
+	engines, err := t.startReplicas(brittleCount, func(r *replica) {
 		r.slots, r.places, r.events = brittleSlots, 3*brittleSlots, brittleEvents
 		r.brittle = &brittleness{}
 		all = append(all, r.brittle)
--- a/review/trial3/caller.go
+++ b/review/trial3/caller.go
@@ -15,6 +15,8 @@
 	id, method, path string
 	// parts is the X-Prompt-Prefix, and tokens the X-Token-Count.
 	parts, tokens string
+	// adapter is the adapter of the model; "" is the model itself.
+	adapter string
 	// key is the API key; "" is callerKey.
 	key string
 	// deadline is how long the caller waits.
@@ -56,7 +58,7 @@
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
 	r.Header.Set("Authorization", "Bearer "+cmp.Or(c.key, callerKey))
 	if c.parts != "" {
-		r.Header.Set("X-Model", modelName)
+		r.Header.Set("X-Model", strings.TrimSuffix(modelName+"/"+c.adapter, "/"))
 		r.Header.Set("X-Token-Count", c.tokens)
 		r.Header.Set("X-Prompt-Prefix", c.parts)
 	}
--- a/review/trial3/config.go
+++ b/review/trial3/config.go
@@ -6,7 +6,6 @@
 const (
 	callerHost   = "texts.example"
 	textService  = "texts"
-	deskService  = "desk"
 	modelName    = "m0"
 	callerKey    = "key-of-school"
 	fineKey      = "key-of-studio"
@@ -15,21 +14,16 @@
 	contactLimit = 3000
 )
 
-// configure publishes the configuration: a route for each kind of request, and one client account.
+// configure publishes the configuration: one route, one service and two client accounts.
 func (t *trial) configure(timeoutMs int) {
-	route := func(prefix, kind, service string, attempts int, canResume bool) map[string]any {
-		return map[string]any{
-			"name": "r" + prefix, "host": callerHost, "prefix": prefix, "routeType": kind, "timeoutMs": timeoutMs,
-			"targetLatencyMs": 1000, "priority": 1, "service": service, "maxAttempts": attempts, "authExempt": false,
-			"sticky": kind == "streaming", "canResume": canResume, "gapAimMs": 400,
-		}
-	}
 	t.store.put("op/config", map[string]any{
 		"version": 7,
 		"routes": []any{
-			route("/text/", "streaming", textService, 1, false),
-			route("/read/", "idempotent", deskService, 2, false),
-			route("/pay/", "non_idempotent", deskService, 2, false),
+			map[string]any{
+				"name": "r-text", "host": callerHost, "prefix": "/text/", "routeType": "streaming", "timeoutMs": timeoutMs,
+				"targetLatencyMs": 1000, "priority": 1, "service": textService, "maxAttempts": 1, "authExempt": false,
+				"sticky": true, "canResume": false, "gapAimMs": 400,
+			},
 		},
 		"services": []any{
 			map[string]any{
@@ -42,7 +36,6 @@
 					"weightsMb": 16500.0, "adapterSlots": 8, "loadsPerS": 2.8,
 				},
 			},
-			map[string]any{"name": deskService, "healthCheckPath": "/healthz", "maxConnections": 100, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{account("school", callerKey), account("studio", fineKey)},
--- a/review/trial3/first_event_crash.go
+++ b/review/trial3/first_event_crash.go
@@ -25,7 +25,7 @@
 	var mu sync.Mutex
 	var arrivals []time.Duration
 	hasPart := func(r *http.Request) bool { return strings.Contains(r.Header.Get("X-Prompt-Prefix"), poisonPart) }
-	engines, err := t.startReplicas(textService, 6, func(r *replica) {
+	engines, err := t.startReplicas(6, func(r *replica) {
 		r.crashAt = func(q *http.Request, eventsSent int) bool { return t.trouble && hasPart(q) && eventsSent == 1 }
 		r.onRun = func(q *http.Request, replica string) {
 			t.notef("%s runs %s", replica, q.Header.Get("X-Attempt-Id"))
--- a/review/trial3/late_delivery.go
+++ b/review/trial3/late_delivery.go
@@ -32,7 +32,7 @@
 	answers := map[string]string{}
 	var links []*link
 	var leaving *replica
-	engines, err := t.startReplicas(textService, 4, func(r *replica) {
+	engines, err := t.startReplicas(4, func(r *replica) {
 		r.onRun = func(q *http.Request, replica string) {
 			id := q.Header.Get("X-Attempt-Id")
 			t.notef("%s reaches %s", id, replica)
--- a/review/trial3/link.go
+++ b/review/trial3/link.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// firstRetransmission is the time after which a segment that was lost is sent again; it doubles each time, as on Linux.
+const firstRetransmission = 200 * time.Millisecond
+
 // link stands between all VMs and one replica, at the replica's published address. While it is cut it behaves like a network that loses all
 // packets: what a VM sends on an open connection stays with the VM's kernel, which sends it again after 0.2 s, 0.6 s, 1.4 s and so on. It is delivered
 // by the first of these that comes after the cut, unless the VM has reset the connection. New connections are not established.
@@ -15,6 +18,8 @@
 	name     string
 	listener *net.TCPListener
 	to       string
+	// onHeld is called with what is sent during a cut; nil is not.
+	onHeld func(chunk)
 
 	mu       sync.Mutex
 	cutFrom  time.Duration
@@ -33,13 +38,21 @@
 	return l, nil
 }
 
-// cut cuts the link for a time.
+// cut cuts the link for a time, or until heal is called.
 func (l *link) cut(d time.Duration) {
 	l.mu.Lock()
 	l.cutFrom, l.cutUntil = l.t.now(), l.t.now()+d
 	l.mu.Unlock()
 	l.setBacklog(0)
-	time.AfterFunc(d, func() { l.setBacklog(128) })
+	time.AfterFunc(d, l.heal)
+}
+
+// heal ends a cut.
+func (l *link) heal() {
+	l.mu.Lock()
+	l.cutUntil = min(l.cutUntil, l.t.now())
+	l.mu.Unlock()
+	l.setBacklog(128)
 }
 
 // setBacklog sets how many connections the kernel establishes that are not accepted.
@@ -53,19 +66,23 @@
 	}
 }
 
-// deliveredAt returns when what is sent now is delivered: at once, or with the first retransmission after the cut.
-func (l *link) deliveredAt(now time.Duration) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now < l.cutFrom || now >= l.cutUntil {
-		return now
-	}
-	at, wait := now, 200*time.Millisecond
-	for at < l.cutUntil {
+// deliver waits until what was sent at a time is delivered: at once, or with the first retransmission after a cut. It returns false if the sender resets
+// its connection before that.
+func (l *link) deliver(sent time.Duration, reset <-chan struct{}) bool {
+	at := sent
+	for wait := firstRetransmission; ; wait *= 2 {
+		timer := time.NewTimer(at - l.t.now())
+		select {
+		case <-reset:
+			timer.Stop()
+			return false
+		case <-timer.C:
+		}
+		if _, cut := l.isCut(); !cut {
+			return true
+		}
 		at += wait
-		wait *= 2
 	}
-	return at
 }
 
 // isCut reports whether the link is cut, and until when.
@@ -107,10 +124,10 @@
 	_ = replica.Close()
 }
 
-// chunk is a piece of what was sent, or the end of it.
+// chunk is a piece of what was sent, and when.
 type chunk struct {
 	bytes []byte
-	at    time.Duration
+	sent  time.Duration
 }
 
 // pump carries one direction. What is under way when the sender resets its connection is lost.
@@ -119,13 +136,15 @@
 	reset := make(chan struct{})
 	go func() {
 		defer close(chunks)
-		due := time.Duration(0)
 		for {
 			buffer := make([]byte, 16<<10)
 			n, err := from.Read(buffer)
-			due = max(due, l.deliveredAt(l.t.now()))
 			if n > 0 {
-				chunks <- chunk{buffer[:n], due}
+				c := chunk{buffer[:n], l.t.now()}
+				if _, cut := l.isCut(); cut && l.onHeld != nil {
+					l.onHeld(c)
+				}
+				chunks <- c
 			}
 			if err != nil && isReset(err) {
 				close(reset)
@@ -136,12 +155,8 @@
 		}
 	}()
 	for c := range chunks {
-		timer := time.NewTimer(c.at - l.t.now())
-		select {
-		case <-reset:
-			timer.Stop()
+		if !l.deliver(c.sent, reset) {
 			return
-		case <-timer.C:
 		}
 		if _, err := to.Write(c.bytes); err != nil {
 			return
--- a/review/trial3/main.go
+++ b/review/trial3/main.go
@@ -21,7 +21,7 @@
 var cases = map[string]func(t *trial) (held bool, err error){
 	"first-event-crash": firstEventCrash,
 	"many-parts":        manyParts,
-	"unread-answers":    unreadAnswers,
+	"killed-order":      killedOrder,
 	"brittle-stop":      brittleStop,
 	"late-delivery":     lateDelivery,
 }
--- a/review/trial3/many_parts.go
+++ b/review/trial3/many_parts.go
@@ -31,8 +31,11 @@
 // the same VMs must get answers: by the rule CONFIG within half a second after their route's timeoutMs.
 func manyParts(t *trial) (bool, error) {
 	var runs, prompts atomic.Int64
-	if _, err := t.startReplicas(textService, 4, func(r *replica) {
-		r.onRun = func(*http.Request, string) { runs.Add(1) }
+	if _, err := t.startReplicas(4, func(r *replica) {
+		r.onRun = func(q *http.Request, replica string) {
+			runs.Add(1)
+			t.noteRun(q, replica)
+		}
 	}); err != nil {
 		return false, err
 	}
--- a/review/trial3/replica.go
+++ b/review/trial3/replica.go
@@ -18,19 +18,15 @@
 	// eventInterval is the time between two events of a stream, and eventCount their number.
 	eventInterval = 40 * time.Millisecond
 	eventCount    = 6
-	// deskTime is how long a request to the plain service takes, on each of deskSlots.
-	deskTime  = 30 * time.Millisecond
-	deskSlots = 6
 	// downTime is how long a replica is down after a crash; its entry lapses after entryLifetime without a heartbeat.
 	downTime      = 3 * time.Second
 	entryLifetime = 3600 * time.Millisecond
 )
 
-// replica is a stand-in for one replica, a model engine or a plain service, at one address. It serves one process after the other.
+// replica is a stand-in for one replica, a model engine, at one address. It serves one process after the other.
 type replica struct {
 	t       *trial
 	name    string
-	service string
 	zone    string
 	address string
 	// published is the address that its entry names; "" is address.
@@ -43,6 +39,8 @@
 	slots, places, events int
 	// brittle makes the replica fall over if it turns many requests away; nil does not.
 	brittle *brittleness
+	// adapters are those that the engine holds or loads; it is empty where a case uses the base model alone.
+	adapters adapterSet
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -56,8 +54,8 @@
 	countedFalls atomic.Int32
 }
 
-// startReplicas starts n replicas of a service.
-func (t *trial) startReplicas(service string, n int, set func(*replica)) ([]*replica, error) {
+// startReplicas starts n engines.
+func (t *trial) startReplicas(n int, set func(*replica)) ([]*replica, error) {
 	var out []*replica
 	for i := range n {
 		l, err := listenOn("127.0.0.1")
@@ -65,12 +63,9 @@
 			return nil, err
 		}
 		r := &replica{
-			t: t, name: fmt.Sprintf("%s-%d", service, i+1), service: service, zone: zones[i%len(zones)], address: l.Addr().String(),
-			crashAt: func(*http.Request, int) bool { return false }, onRun: func(*http.Request, string) {},
-			slots: deskSlots, places: 4 * deskSlots, events: eventCount,
-		}
-		if service == textService {
-			r.slots, r.places = engineSlots, 3*engineSlots
+			t: t, name: fmt.Sprintf("%s-%d", textService, i+1), zone: zones[i%len(zones)], address: l.Addr().String(),
+			crashAt: func(*http.Request, int) bool { return false }, onRun: t.noteRun,
+			slots: engineSlots, places: 3 * engineSlots, events: eventCount,
 		}
 		set(r)
 		r.run(l)
@@ -87,6 +82,11 @@
 	return out, nil
 }
 
+// noteRun records that a request begins to run.
+func (t *trial) noteRun(r *http.Request, replica string) {
+	t.notef("%s runs %s", replica, r.Header.Get("X-Attempt-Id"))
+}
+
 // run begins a process of the replica, which has a new id.
 func (r *replica) run(l net.Listener) {
 	r.mu.Lock()
@@ -94,6 +94,7 @@
 	r.starts++
 	r.id, r.born = fmt.Sprintf("i-%s-%d", r.name, r.starts), time.Now().UnixMilli()
 	r.orders.Store(0)
+	r.adapters.clear()
 	r.crashing.Store(false)
 	r.server = &http.Server{Handler: &process{replica: r, id: r.id, born: r.born, slots: make(chan struct{}, r.slots)}}
 	go func(s *http.Server) { _ = s.Serve(l) }(r.server)
@@ -103,12 +104,9 @@
 // publish writes the replica's entry. The caller holds mu.
 func (r *replica) publish(state string) {
 	entry := map[string]any{
-		"service": r.service, "address": cmp.Or(r.published, r.address), "zone": r.zone, "version": "v1", "slots": r.slots, "state": state,
-		"coldRemainingMs": 0, "sequence": r.orders.Load(), "born": r.born,
-	}
-	if r.service == textService {
-		entry["stage"] = "colocated"
-		entry["models"] = []any{map[string]any{"name": modelName, "version": 1, "adapters": []string{}}}
+		"service": textService, "address": cmp.Or(r.published, r.address), "zone": r.zone, "version": "v1", "slots": r.slots, "state": state,
+		"coldRemainingMs": 0, "sequence": r.orders.Load(), "born": r.born, "stage": "colocated",
+		"models": []any{map[string]any{"name": modelName, "version": 1, "adapters": []string{}}},
 	}
 	r.t.store.put("servers/"+r.id, entry)
 }
@@ -186,23 +184,22 @@
 
 func (p *process) report(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
+	loaded, coming := p.replica.adapters.list()
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"stage": "colocated", "models": []any{map[string]any{"name": modelName, "version": 1, "adapters": []string{}}}, "busy": false,
+		"stage": "colocated", "models": []any{map[string]any{"name": modelName, "version": 1, "adapters": loaded}}, "busy": false,
 		"sequence": p.replica.orders.Load(), "queued": 0, "running": len(p.slots), "kvUsed": 0, "kvTotal": cacheTokens,
-		"handles": 0, "born": p.born,
+		"handles": 0, "born": p.born, "coming": coming,
 	})
 }
 
-// order answers that the model is loaded; the cases use no adapters.
+// order carries out an order, unless it expects another count of orders.
 func (p *process) order(w http.ResponseWriter, r *http.Request) {
-	var o struct {
-		Operation, Model, Adapter string
-	}
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Operation != "load" || o.Model != modelName || o.Adapter != "" {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Model != modelName {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	w.WriteHeader(http.StatusOK)
+	w.WriteHeader(p.replica.adapters.carryOut(o, &p.replica.orders, p.replica.t.now()))
 }
 
 // serve runs a request.
@@ -222,18 +219,7 @@
 	w.Header().Set("X-Server-Load", p.load())
 	p.replica.onRun(r, p.replica.name)
 	w.Header().Set("X-Server-Seal", "seal."+p.id+"."+id)
-	if p.replica.service == textService {
-		p.stream(w, r)
-		return
-	}
-	select {
-	case <-time.After(deskTime):
-	case <-r.Context().Done():
-		return
-	}
-	body := "done " + id + strings.Repeat(".", 800) + "\n"
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, _ = w.Write([]byte(body))
+	p.stream(w, r)
 }
 
 // load returns the load that answers state.
@@ -290,10 +276,17 @@
 
 // stream answers with a stream of events.
 func (p *process) stream(w http.ResponseWriter, r *http.Request) {
-	if model, _, _ := strings.Cut(r.Header.Get("X-Model"), "/"); model != modelName {
+	model, adapter, _ := strings.Cut(r.Header.Get("X-Model"), "/")
+	known, ready := p.replica.adapters.has(adapter)
+	if model != modelName || adapter != "" && !known {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if adapter != "" && !ready {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Weight-Versions", "1")
 	control := http.NewResponseController(w)
--- a/review/trial3/store.go
+++ b/review/trial3/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -57,8 +58,25 @@
 	s.events = append(s.events, storeItem{Key: key, Revision: s.revision, Removed: true})
 }
 
+// view is the store as one VM sees it: with other addresses for some replicas, by the real ones.
+type view struct {
+	store     *store
+	addresses map[string]string
+}
+
+// of returns the items as the VM sees them.
+func (v view) of(items []storeItem) []storeItem {
+	for i := range items {
+		for from, to := range v.addresses {
+			items[i].Value = bytes.ReplaceAll(items[i].Value, []byte(`"`+from+`"`), []byte(`"`+to+`"`))
+		}
+	}
+	return items
+}
+
 // ServeHTTP serves the reading calls.
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (v view) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s := v.store
 	query := r.URL.Query()
 	w.Header().Set("Content-Type", "application/json")
 	switch r.URL.Path {
@@ -70,14 +88,14 @@
 				items = append(items, item)
 			}
 		}
-		answer := map[string]any{"items": items, "hasMore": false, "currentRev": s.revision}
+		answer := map[string]any{"items": v.of(items), "hasMore": false, "currentRev": s.revision}
 		s.mu.Unlock()
 		_ = json.NewEncoder(w).Encode(answer)
 	case "/v1/kv-watch":
 		after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("waitMs"))
 		events, revision := s.watch(r, query.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
-		_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "currentRev": revision})
+		_ = json.NewEncoder(w).Encode(map[string]any{"events": v.of(events), "currentRev": revision})
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
--- a/review/trial3/trial.go
+++ b/review/trial3/trial.go
@@ -18,6 +18,8 @@
 	began   time.Time
 	store   *store
 	vms     []*vm
+	// addresses are the addresses at which each VM sees replicas, by the real ones, where those differ.
+	addresses []map[string]string
 	// engineSlots is the batch of the engines; 0 is engineSlots.
 	engineSlots int
 
--- a/review/trial3/vm.go
+++ b/review/trial3/vm.go
@@ -111,10 +111,6 @@
 	if err != nil {
 		return err
 	}
-	storeAddress, err := t.serve("127.0.0.1", t.store)
-	if err != nil {
-		return err
-	}
 	var seeds []string
 	for i := range n {
 		ip := fmt.Sprintf("%s.%d", subnet, i+1)
@@ -123,7 +119,15 @@
 		}
 		t.vms = append(t.vms, &vm{name: fmt.Sprintf("vm-%d", i+1), ip: ip, zone: zones[i%len(zones)]})
 	}
-	for _, v := range t.vms {
+	for i, v := range t.vms {
+		seen := view{store: t.store}
+		if i < len(t.addresses) {
+			seen.addresses = t.addresses[i]
+		}
+		storeAddress, err := t.serve("127.0.0.1", seen)
+		if err != nil {
+			return err
+		}
 		v.settingsPath = filepath.Join(dir, v.name+".json")
 		raw, err := json.Marshal(settingsOf(v, seeds, storeAddress))
 		if err != nil {
