--- a/review/trial3/killed_order.go
+++ b/review/trial3/killed_order.go
@@ -20,7 +20,7 @@
 	// killCalm is the time before the disruption, and killAfter the time from there to the end.
 	killCalm  = 10 * time.Second
 	killAfter = 18 * time.Second
-	// findOrder bounds the wait for an order that the cut holds up. killDelay later its sender is killed. killCut is the length of the cut.
+	// findOrder bounds the wait for an order, with which the cut begins. killDelay later its sender is killed. killCut is the length of the cut.
 	findOrder = time.Second
 	killDelay = 300 * time.Millisecond
 	killCut   = 6500 * time.Millisecond
@@ -83,7 +83,7 @@
 	return t.judgeOrders(engines[0], healed), nil
 }
 
-// killOwner cuts the VM that orders for an engine off from all engines, kills it once an order is held up, and returns when the cut has ended.
+// killOwner cuts the VM that orders for an engine off from all engines, kills it as an order is held up, and returns when the cut has ended.
 // The VM is started again.
 func (t *trial) killOwner(engine *replica, links [][]*link) (time.Duration, error) {
 	before := engine.adapters.orders()
@@ -95,30 +95,31 @@
 	if owner < 0 {
 		return 0, fmt.Errorf("the holder %s is no VM", holder)
 	}
-	held := make(chan chunk, 64)
-	cut, v := links[owner][0], t.vms[owner]
-	cut.mu.Lock()
-	cut.onHeld = func(c chunk) {
-		if bytes.HasPrefix(c.bytes, []byte("POST /v1/order")) {
-			select {
-			case held <- c:
-			default:
-			}
+	held := make(chan []byte, 1)
+	var first sync.Once
+	path, v := links[owner][0], t.vms[owner]
+	path.mu.Lock()
+	path.onSend = func(text []byte) {
+		if !bytes.HasPrefix(text, []byte("POST /v1/order")) {
+			return
 		}
+		first.Do(func() {
+			for _, l := range links[owner] {
+				l.cut(killCut)
+			}
+			held <- text
+		})
 	}
-	cut.mu.Unlock()
-	t.logf("%s (%s), which orders for %s, is cut off from all engines", v.name, v.ip, engine.name)
-	for _, l := range links[owner] {
-		l.cut(killCut)
-	}
-	healed := t.now() + killCut
-	var order chunk
+	path.mu.Unlock()
+	var order []byte
 	select {
 	case order = <-held:
 	case <-time.After(findOrder):
 		return 0, errors.New("no order was on its way")
 	}
-	t.logf("an order was sent at %.3f s and is held up: %s", order.sent.Seconds(), order.bytes[bytes.LastIndexByte(order.bytes, '\n')+1:])
+	healed := t.now() + killCut
+	t.logf("%s (%s), which orders for %s, is cut off from all engines; an order of it is held up: %s", v.name, v.ip, engine.name,
+		order[bytes.LastIndexByte(order, '\n')+1:])
 	time.Sleep(killDelay)
 	v.away.Store(true)
 	t.logf("%s is killed", v.name)
--- a/review/trial3/link.go
+++ b/review/trial3/link.go
@@ -18,8 +18,8 @@
 	name     string
 	listener *net.TCPListener
 	to       string
-	// onHeld is called with what is sent during a cut; nil is not.
-	onHeld func(chunk)
+	// onSend is called with each piece that a VM or the replica sends, before it goes on.
+	onSend func(bytes []byte)
 
 	mu       sync.Mutex
 	cutFrom  time.Duration
@@ -85,6 +85,13 @@
 	}
 }
 
+// hook returns what is called with each piece that is sent.
+func (l *link) hook() func([]byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.onSend
+}
+
 // isCut reports whether the link is cut, and until when.
 func (l *link) isCut() (time.Duration, bool) {
 	l.mu.Lock()
@@ -140,11 +147,10 @@
 			buffer := make([]byte, 16<<10)
 			n, err := from.Read(buffer)
 			if n > 0 {
-				c := chunk{buffer[:n], l.t.now()}
-				if _, cut := l.isCut(); cut && l.onHeld != nil {
-					l.onHeld(c)
+				if onSend := l.hook(); onSend != nil {
+					onSend(buffer[:n])
 				}
-				chunks <- c
+				chunks <- chunk{buffer[:n], l.t.now()}
 			}
 			if err != nil && isReset(err) {
 				close(reset)
